--- /dev/null
+++ b/packages/firtrestle-standins/firtrestle_standins/rigs.py
@@ -0,0 +1,336 @@
+"""Start daemons and stand-ins as processes, break them, and collect what they recorded."""
+
+from __future__ import annotations
+
+import json
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.events import Event
+from firtrestle.http_clients import HttpReply, fetch
+from firtrestle.traces import load_trace, merge
+
+from firtrestle_standins.collections_data import IndexVersion
+from firtrestle_standins.shapes import Shape
+
+HOST = "127.0.0.1"
+FIRST_PORT = 20_000
+LAST_PORT = 30_000  # below the ports that the system hands out
+START_TIMEOUT = Millis(20_000)
+STOP_TIMEOUT = Millis(15_000)
+POLL = Millis(50)
+CALL_TIMEOUT = Millis(5_000)
+EVENT_COLLECT_PAUSE = Millis(500)
+
+
+class RigFailure(RuntimeError):
+    """Say that a process did not start or stop as it should."""
+
+
+@dataclass(slots=True)
+class Process:
+    """Hold one started process."""
+
+    name: str
+    address: str
+    handle: subprocess.Popen[bytes]
+    log: Path
+    command: list[str]
+
+    @property
+    def running(self) -> bool:
+        """Say whether the process runs."""
+        return self.handle.poll() is None
+
+
+@dataclass(slots=True)
+class Rig:
+    """Hold a fleet of processes in one folder."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="firtrestle-")))
+    seed: int = 1
+    daemon_settings: dict[str, Any] = field(default_factory=dict)
+    by_name: dict[str, Process] = field(default_factory=dict)
+    vms: list[dict[str, Any]] = field(default_factory=list)
+    shape_by_collection: dict[str, Shape] = field(default_factory=dict)
+    versions: dict[str, dict[int, IndexVersion]] = field(default_factory=dict)
+    events: list[Event] = field(default_factory=list)
+    clock: Clock = field(default_factory=Clock)
+    _rng: random.Random = field(default_factory=random.SystemRandom)
+    _seen_by_process: dict[tuple[str, int], int] = field(default_factory=dict)
+
+    def free_port(self) -> int:
+        """Return a port that nobody listens on."""
+        while True:
+            port = self._rng.randrange(FIRST_PORT, LAST_PORT)
+            with socket.socket() as probe:
+                if probe.connect_ex((HOST, port)) != 0:
+                    return port
+
+    def spawn(self, name: str, address: str, command: list[str]) -> Process:
+        """Start a process."""
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
+            handle = subprocess.Popen(
+                command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+            )
+        process = Process(name, address, handle, log, command)
+        self.by_name[name] = process
+        return process
+
+    async def start_platform(self) -> None:
+        """Start the configuration service and VM list, in one process."""
+        port = self.free_port()
+        module = "firtrestle_standins.platforms"
+        record = self.folder / "platform.jsonl"
+        command = [sys.executable, "-m", module, HOST, str(port), str(record)]
+        self.spawn("platform", f"{HOST}:{port}", command)
+        await self._wait_for("platform", "/calls")
+
+    async def start_targets(
+        self, shape: Shape, faults: dict[str, Any] | None = None, version: int = 1
+    ) -> None:
+        """Start the instances of a collection, one process each, and list them."""
+        index_version = shape.version(version)
+        self.shape_by_collection[shape.collection] = shape
+        self.versions.setdefault(shape.collection, {})[version] = index_version
+        for index, target_id in enumerate(shape.target_ids()):
+            self._start_target(shape, index, target_id, index_version, faults or {})
+        for target_id in shape.target_ids():
+            await self._wait_for(target_id, "/status")
+
+    def _start_target(
+        self, shape: Shape, index: int, target_id: str, version: IndexVersion, faults: dict
+    ) -> None:
+        port = self.free_port()
+        config = shape.config(index, version)
+        config |= {"host": HOST, "port": port, "seed": self.seed, "faults": faults}
+        config["record"] = str(self.folder / f"{target_id}.jsonl")
+        path = self.folder / f"{target_id}.json"
+        path.write_text(json.dumps(config))
+        command = [sys.executable, "-m", "firtrestle_standins.targets", str(path)]
+        self.spawn(target_id, f"{HOST}:{port}", command)
+        self.vms.append(
+            {
+                "id": target_id,
+                "kind": "target",
+                "data_centre": f"dc{index % 2 + 1}",
+                "host": HOST,
+                "port": port,
+                "collection": shape.collection,
+                "state": "live",
+            }
+        )
+
+    async def start_daemons(self, count: int, data_centres: int = 2, first: int = 1) -> None:
+        """Start daemons and list them."""
+        names = [f"d{number}" for number in range(first, first + count)]
+        for offset, name in enumerate(names):
+            self._write_settings(name, f"dc{(first + offset - 1) % data_centres + 1}")
+        await self.publish_vms()
+        for name in names:
+            self.start_daemon(name)
+        for name in names:
+            await self._wait_for(name, "/-/live")
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon that has its settings, again after a kill or for the first time."""
+        settings = self.folder / f"{name}.yaml"
+        vm = next(vm for vm in self.vms if vm["id"] == name)
+        command = [sys.executable, "-m", "firtrestle.daemon", str(settings)]
+        self.spawn(name, f"{HOST}:{vm['port']}", command)
+
+    def _write_settings(self, name: str, data_centre: str) -> None:
+        port, peer_port = self.free_port(), self.free_port()
+        platform = self.by_name["platform"].address
+        settings: dict[str, Any] = {
+            "daemon": {
+                "id": name,
+                "data_centre": data_centre,
+                "address": HOST,
+                "port": port,
+                "peer_port": peer_port,
+            },
+            "platform": {
+                "configuration_service": platform,
+                "vm_list": platform,
+                "list_lag_ms": 300,
+                "retry_ms": 500,
+            },
+        }
+        for section, values in self.daemon_settings.items():
+            settings[section] = settings.get(section, {}) | values
+        (self.folder / f"{name}.yaml").write_text(yaml.safe_dump(settings))
+        self.vms.append(
+            {
+                "id": name,
+                "kind": "daemon",
+                "data_centre": data_centre,
+                "host": HOST,
+                "port": port,
+                "peer_port": peer_port,
+                "state": "live",
+            }
+        )
+
+    async def publish_vms(self) -> None:
+        """Publish the list of VMs as it stands."""
+        await self.control("platform", name="vms", text=json.dumps({"vms": self.vms}))
+
+    async def publish_catalogue(self, text: str, **more: Any) -> None:
+        """Publish a catalogue."""
+        await self.control("platform", name="catalogue", text=text, **more)
+
+    async def control(self, process: str, **changes: Any) -> None:
+        """Tell a stand-in to change."""
+        body = json.dumps(changes).encode()
+        address = self.by_name[process].address
+        reply = await fetch(address, "POST", "/control", CALL_TIMEOUT, body)
+        if not isinstance(reply, HttpReply) or reply.status != 200:
+            raise RigFailure(f"{process} did not take {sorted(changes)}: {reply}")
+
+    async def add_version(self, shape: Shape, version: IndexVersion) -> None:
+        """Give every instance of a collection one more version, one after the other."""
+        self.versions[shape.collection][version.number] = version
+        held = shape.shards_of(version)
+        for target_id in shape.target_ids():
+            if self.by_name[target_id].running:
+                shards = {"version": [version.shards, version.documents], "shards": held[target_id]}
+                await self.control(target_id, add_versions={str(version.number): shards})
+
+    async def drop_version(self, shape: Shape, number: int) -> None:
+        """Make every instance forget a version."""
+        for target_id in shape.target_ids():
+            if self.by_name[target_id].running:
+                await self.control(target_id, drop_versions=[number])
+
+    async def wait_until_ready(self, catalogue_revision: int = 1) -> None:
+        """Wait until each running daemon serves a revision, knows all targets and holds keys."""
+        expected = {vm["id"] for vm in self.vms if vm["kind"] == "target"}
+        deadline = self.clock.now() + START_TIMEOUT
+        for name in self.daemons():
+            while not await self._is_settled(name, catalogue_revision, expected):
+                if self.clock.now() > deadline:
+                    raise RigFailure(f"{name} is not ready:\n{self._log_tail(name)}")
+                await sleep(POLL)
+
+    async def _is_settled(self, name: str, revision: int, expected: set[str]) -> bool:
+        status = await self.status(name)
+        if status is None or not status["ready"] or not status["established"]:
+            return False
+        known = {target["id"] for target in status["targets"] if target["state"] != "down"}
+        dead = {n for n in expected if n in self.by_name and not self.by_name[n].running}
+        live = {m["id"] for m in status["members"] if m["status"] == "alive"}
+        met = set(self.daemons()) <= live
+        return status["revision"] >= revision and expected - dead <= known and met
+
+    async def status(self, daemon: str) -> dict[str, Any] | None:
+        """Return a daemon's status, or None where it does not answer."""
+        address = self.by_name[daemon].address
+        reply = await fetch(address, "GET", "/-/status", CALL_TIMEOUT)
+        return reply.json() if isinstance(reply, HttpReply) and reply.status == 200 else None
+
+    def daemons(self) -> list[str]:
+        """Return the names of the running daemons."""
+        listed = [vm["id"] for vm in self.vms if vm["kind"] == "daemon"]
+        return [name for name in listed if name in self.by_name and self.by_name[name].running]
+
+    def daemon_addresses(self) -> dict[str, str]:
+        """Return where the running daemons take callers, by name."""
+        return {name: self.by_name[name].address for name in self.daemons()}
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.by_name[name].handle.kill()
+        self.by_name[name].handle.wait()
+
+    def freeze(self, name: str) -> None:
+        """Pause a process."""
+        self.by_name[name].handle.send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        self.by_name[name].handle.send_signal(signal.SIGCONT)
+
+    def restart_target(self, name: str) -> None:
+        """Start a dead target again, with its first configuration."""
+        process = self.by_name[name]
+        self.spawn(name, process.address, process.command)
+
+    async def stop(self, name: str) -> None:
+        """Ask a process to stop in order, and wait until it has."""
+        handle = self.by_name[name].handle
+        handle.send_signal(signal.SIGTERM)
+        deadline = self.clock.now() + STOP_TIMEOUT
+        while handle.poll() is None:
+            if self.clock.now() > deadline:
+                raise RigFailure(f"{name} did not stop:\n{self._log_tail(name)}")
+            await sleep(POLL)
+
+    async def collect_events(self) -> None:
+        """Fetch the daemons' new events into the rig."""
+        for name in self.daemons():
+            await self._collect_from(name)
+
+    async def keep_collecting(self) -> None:
+        """Fetch events again and again, so that little is lost with a killed daemon."""
+        while True:
+            await self.collect_events()
+            await sleep(EVENT_COLLECT_PAUSE)
+
+    async def _collect_from(self, name: str) -> None:
+        process = self.by_name[name]
+        key = (name, process.handle.pid)
+        while process.running:
+            after = self._seen_by_process.get(key, 0)
+            path = f"/-/events?after={after}"
+            reply = await fetch(process.address, "GET", path, CALL_TIMEOUT)
+            page = reply.json() if isinstance(reply, HttpReply) else None
+            if not page or not page["events"]:
+                return
+            self.events += [Event.from_dict(raw) for raw in page["events"]]
+            self._seen_by_process[key] = page["last"]
+
+    def trace(self) -> list[Event]:
+        """Return all events collected and recorded, in order."""
+        recorded = [event for path in self.folder.glob("*.jsonl") for event in load_trace(path)]
+        return merge([*self.events, *recorded])
+
+    def save_trace(self, path: Path) -> None:
+        """Write the trace as JSON lines."""
+        lines = (json.dumps(event.to_dict(), separators=(",", ":")) for event in self.trace())
+        path.write_text("\n".join(lines) + "\n")
+
+    def close(self, keep: bool = False) -> None:
+        """End every process that the rig started, and remove its folder."""
+        for process in self.by_name.values():
+            if process.running:
+                process.handle.send_signal(signal.SIGCONT)
+                process.handle.kill()
+        for process in self.by_name.values():
+            process.handle.wait()
+        if not keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def _wait_for(self, name: str, path: str) -> None:
+        deadline = self.clock.now() + START_TIMEOUT
+        process = self.by_name[name]
+        while self.clock.now() < deadline and process.running:
+            reply = await fetch(process.address, "GET", path, Millis(1_000))
+            if isinstance(reply, HttpReply):
+                return
+            await sleep(POLL)
+        raise RigFailure(f"{name} did not start:\n{self._log_tail(name)}")
+
+    def _log_tail(self, name: str) -> str:
+        return self.by_name[name].log.read_text()[-2_000:]
--- /dev/null
+++ b/packages/firtrestle-standins/firtrestle_standins/shapes.py
@@ -0,0 +1,64 @@
+"""Describe the collections that stand-ins serve, in the users' sizes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from firtrestle_standins.collections_data import IndexVersion
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Hold one collection's instances, searchers, shards and limits."""
+
+    collection: str
+    instances: int
+    searchers: int
+    slots: int
+    connection_limit: int
+    connect_cost_ms: float
+    shards: int
+    documents: int
+    replicas: int = 2
+
+    def target_ids(self) -> list[str]:
+        """Return the ids of the instances."""
+        return [f"{self.collection}-{index}" for index in range(self.instances)]
+
+    def version(self, number: int, shards: int = 0, more: int = 0) -> IndexVersion:
+        """Return one version of the index, grown by some documents."""
+        return IndexVersion(number, shards or self.shards, self.documents + more)
+
+    def shards_of(self, version: IndexVersion) -> dict[str, dict[str, list[int]]]:
+        """Return the shards held, by target and searcher, replicas on other instances."""
+        total = self.instances * self.searchers
+        held: dict[str, dict[str, list[int]]] = {
+            target: {f"s{n}": [] for n in range(self.searchers)} for target in self.target_ids()
+        }
+        for shard in range(version.shards):
+            for copy in range(self.replicas):
+                place = (shard + copy * self.searchers) % total
+                instance, searcher = divmod(place, self.searchers)
+                held[f"{self.collection}-{instance}"][f"s{searcher}"].append(shard)
+        return held
+
+    def config(self, index: int, version: IndexVersion) -> dict[str, Any]:
+        """Return the part of a target's file that the shape decides."""
+        target = self.target_ids()[index]
+        return {
+            "id": target,
+            "collection": self.collection,
+            "connection_limit": self.connection_limit,
+            "connect_cost_ms": self.connect_cost_ms,
+            "slots": self.slots,
+            "versions": {str(version.number): [version.shards, version.documents]},
+            "shards_by_version": {str(version.number): self.shards_of(version)[target]},
+        }
+
+
+REVIEW_DESK = Shape("corners", 10, 3, 3, 30, 6.0, shards=30, documents=3_000)
+ARCHIVE = Shape("archive", 10, 1, 2, 110, 1.0, shards=10, documents=1_000)
+REGISTRY = Shape("registry", 4, 1, 3, 40, 1.0, shards=4, documents=1_200)
+VERIFICATION_DESK = Shape("verification", 10, 3, 2, 25, 6.0, shards=30, documents=3_000)
+FEES = Shape("fees", 3, 1, 2, 25, 6.0, shards=3, documents=0)
--- /dev/null
+++ b/packages/firtrestle-standins/firtrestle_standins/targets.py
@@ -0,0 +1,281 @@
+"""Stand in for one target: an instance with searchers, slots and a connection limit."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import sys
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from typing import Any
+
+import trio
+from firtrestle.clocks import Millis, move_on_after, sleep
+from firtrestle.events import EventKind
+from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
+
+from firtrestle_standins.collections_data import IndexVersion, row_id
+from firtrestle_standins.records import Record
+
+CRASH_STATUS = 70
+
+
+@dataclass(slots=True)
+class Faults:
+    """Hold how the target misbehaves; shares are from 0 to 1."""
+
+    latency_ms: float = 5.0
+    latency_spread: float = 0.2
+    straggle_share: float = 0.0
+    straggle_factor: float = 20.0
+    slow_factor: float = 1.0
+    shed_share: float = 0.0
+    fail_share: float = 0.0
+    truncate_share: float = 0.0
+    cross_share: float = 0.0
+    double_rows_share: float = 0.0
+    lose_reply_share: float = 0.0
+    poison: str = ""
+    draining: bool = False
+    starting: bool = False
+    claimed_load: float | None = None
+
+    def update(self, changes: dict[str, Any]) -> None:
+        """Take over named changes; raise KeyError on an unknown one."""
+        known = {one.name for one in fields(self)}
+        for name, value in changes.items():
+            if name not in known:
+                raise KeyError(name)
+            setattr(self, name, value)
+
+
+@dataclass(slots=True)
+class TargetConfig:
+    """Hold the shape of one target; shards by version, then by searcher."""
+
+    id: str
+    host: str
+    port: int
+    collection: str
+    connection_limit: int
+    connect_cost_ms: float
+    slots: int
+    versions: dict[int, IndexVersion]
+    shards_by_version: dict[int, dict[str, list[int]]]
+    seed: int
+    record: Path
+    faults: Faults = field(default_factory=Faults)
+
+    @classmethod
+    def from_file(cls, path: Path) -> TargetConfig:
+        """Read the shape that a rig wrote."""
+        raw = json.loads(path.read_text())
+        raw["versions"] = {int(n): IndexVersion(int(n), *v) for n, v in raw["versions"].items()}
+        raw["shards_by_version"] = {int(n): s for n, s in raw["shards_by_version"].items()}
+        raw["record"] = Path(raw["record"])
+        raw["faults"] = Faults(**raw.get("faults", {}))
+        return cls(**raw)
+
+
+class Target:
+    """Serve searches and submits, with faults drawn from a seed."""
+
+    def __init__(self, config: TargetConfig) -> None:
+        self.config = config
+        self.faults = config.faults
+        self.record = Record(config.id, config.record)
+        self._rng = random.Random(f"{config.seed}/{config.id}")
+        self._running_by_searcher: dict[str, int] = {}
+        self._scope_by_call: dict[tuple[str, int], trio.CancelScope] = {}
+        self._connections = 0
+        self._last_echo: dict[str, Any] | None = None
+        bounds = HttpBounds(max_body_bytes=1_000_000, idle_timeout=Millis(3_600_000))
+        self._server = HttpServer(self.handle, bounds, max_connections=100_000)
+
+    async def run(self) -> None:
+        """Listen until ended."""
+        self.record.add(EventKind.STARTED)
+        listeners = await trio.open_tcp_listeners(self.config.port, host=self.config.host)
+        await trio.serve_listeners(self._accept, listeners)
+
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        if self._connections >= self.config.connection_limit:
+            self.record.add(EventKind.CONNECTIONS_EXCEEDED, open=self._connections)
+            await trio.aclose_forcefully(stream)
+            return
+        self._connections += 1
+        try:
+            await sleep(Millis(self.config.connect_cost_ms))
+            await self._server.serve(stream)
+        finally:
+            self._connections -= 1
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        match request.path:
+            case "/status":
+                return HttpResponse.from_json(self._status())
+            case "/control":
+                return self._control(json.loads(request.body))
+            case "/cancel":
+                return self._cancel(json.loads(request.body))
+            case "/search" | "/submit":
+                return await self._run(request, request.path == "/submit")
+        return HttpResponse.from_json({"error": "not-found"}, 404)
+
+    def _status(self) -> dict[str, Any]:
+        config, faults = self.config, self.faults
+        state = "draining" if faults.draining else "starting" if faults.starting else "live"
+        names = sorted({n for held in config.shards_by_version.values() for n in held})
+        load = sum(self._running_by_searcher.values()) / max(1, config.slots * len(names))
+        return {
+            "state": state,
+            "collection": config.collection,
+            "connection_limit": config.connection_limit,
+            "load": load if faults.claimed_load is None else faults.claimed_load,
+            "searchers": {
+                name: {
+                    "slots": config.slots,
+                    "shards": {
+                        str(version): held[name]
+                        for version, held in config.shards_by_version.items()
+                        if held.get(name)
+                    },
+                }
+                for name in names
+            },
+            "versions": {
+                str(number): {"documents": version.documents_by_shard()}
+                for number, version in config.versions.items()
+            },
+        }
+
+    def _control(self, changes: dict[str, Any]) -> HttpResponse:
+        """Change faults, or the versions held."""
+        for number, shape in changes.pop("add_versions", {}).items():
+            self.config.versions[int(number)] = IndexVersion(int(number), *shape["version"])
+            self.config.shards_by_version[int(number)] = shape["shards"]
+        for number in changes.pop("drop_versions", []):
+            self.config.versions.pop(int(number), None)
+            self.config.shards_by_version.pop(int(number), None)
+        try:
+            self.faults.update(changes)
+        except KeyError as error:
+            return HttpResponse.from_json({"error": f"unknown fault {error}"}, 400)
+        if changes.get("draining"):
+            self.record.add(EventKind.TARGET_DRAINING)
+        return HttpResponse.from_json({"ok": True})
+
+    def _cancel(self, call: dict[str, Any]) -> HttpResponse:
+        scope = self._scope_by_call.get((call["request_id"], call["attempt"]))
+        if scope is not None:
+            scope.cancel()
+        return HttpResponse.from_json({"cancelled": scope is not None})
+
+    async def _run(self, request: HttpRequest, is_submit: bool) -> HttpResponse:
+        call = json.loads(request.body)
+        version, shard, name = call["version"], call["shard"], call["searcher"]
+        self.record.add(
+            EventKind.TARGET_RECEIVED,
+            call["request_id"],
+            attempt=call["attempt"],
+            shard=shard,
+            version=version,
+            key=call["key"],
+        )
+        if self.faults.draining:
+            return HttpResponse.from_json({"error": "draining"}, 503)
+        if shard not in self.config.shards_by_version.get(version, {}).get(name, []):
+            held = sorted(self.config.shards_by_version)
+            return HttpResponse.from_json({"error": "snapshot-gone", "versions": held}, 409)
+        if self._rng.random() < self.faults.shed_share:
+            return HttpResponse.from_json({"error": "shed", "retry_after_ms": 200}, 503)
+        running = self._running_by_searcher.get(name, 0) + 1
+        self._running_by_searcher[name] = running
+        if running > self.config.slots:
+            self.record.add(EventKind.SLOTS_EXCEEDED, call["request_id"], searcher=name)
+        try:
+            return await self._work(request, call, is_submit)
+        finally:
+            self._running_by_searcher[name] -= 1
+
+    async def _work(
+        self, request: HttpRequest, call: dict[str, Any], is_submit: bool
+    ) -> HttpResponse:
+        budget = Millis(float(request.header("request-timeout-ms", "60000")))
+        call_id = (call["request_id"], call["attempt"])
+        scope = trio.CancelScope()
+        self._scope_by_call[call_id] = scope
+        try:
+            with scope, move_on_after(budget) as deadline:
+                await self._spend_time(call)
+        finally:
+            self._scope_by_call.pop(call_id, None)
+        if scope.cancelled_caught:
+            return HttpResponse.from_json({"error": "cancelled"}, 499)
+        if deadline.cancelled_caught:
+            return HttpResponse.from_json({"error": "deadline"}, 504)
+        if self._rng.random() < self.faults.fail_share:
+            return HttpResponse.from_json({"error": "failed"}, 500)
+        if is_submit:
+            self.record.add(EventKind.TARGET_RAN, call["request_id"], key=call["key"])
+            if self._rng.random() < self.faults.lose_reply_share:
+                raise trio.BrokenResourceError("the reply is lost")
+        return self._reply(call, is_submit)
+
+    async def _spend_time(self, call: dict[str, Any]) -> None:
+        faults = self.faults
+        latency = faults.latency_ms * faults.slow_factor
+        latency *= self._rng.uniform(1 - faults.latency_spread, 1 + faults.latency_spread)
+        if self._rng.random() < faults.straggle_share:
+            latency *= faults.straggle_factor
+        if faults.poison and call["query"].get("poison") == faults.poison:
+            await sleep(Millis(latency / 2))
+            self.record.add(EventKind.TARGET_CRASHED, call["request_id"])
+            os._exit(CRASH_STATUS)
+        await sleep(Millis(latency))
+
+    def _reply(self, call: dict[str, Any], is_submit: bool) -> HttpResponse:
+        """Build the reply, record what it truly serves, then garble it as the faults say."""
+        names = ("request_id", "attempt", "collection", "version", "shard")
+        echo = {name: call[name] for name in names}
+        rows, documents = self._rows(call, is_submit)
+        truncated = not is_submit and self._rng.random() < self.faults.truncate_share
+        if truncated:
+            rows, documents = rows[: len(rows) // 2], documents // 2
+        if self._rng.random() < self.faults.cross_share and self._last_echo is not None:
+            return HttpResponse.from_json({**self._last_echo, "rows": rows, "documents": documents})
+        self._last_echo = echo
+        if not is_submit:
+            self.record.add(
+                EventKind.TARGET_SERVED,
+                call["request_id"],
+                attempt=call["attempt"],
+                version=call["version"],
+                shard=call["shard"],
+                documents=documents,
+            )
+        if self._rng.random() < self.faults.double_rows_share:
+            rows = rows + rows
+        reply = {**echo, "rows": rows, "documents": documents, "truncated": truncated}
+        return HttpResponse.from_json(reply)
+
+    def _rows(self, call: dict[str, Any], is_submit: bool) -> tuple[list[dict[str, Any]], int]:
+        version = self.config.versions[call["version"]]
+        if is_submit:
+            return [{"id": call["key"], "version": version.number, "receipt": True}], 0
+        matches = version.matches(call["shard"], call["query"])
+        collection = call["collection"]
+        rows = [{"id": row_id(collection, n), "version": version.number} for n in matches]
+        return rows, version.documents_by_shard()[call["shard"]]
+
+
+def main() -> None:
+    """Run one target from the file that a rig wrote."""
+    config = TargetConfig.from_file(Path(sys.argv[1]))
+    trio.run(Target(config).run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/firtrestle/firtrestle/admitters.py
@@ -0,0 +1,43 @@
+"""Decide which queries are let in."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from firtrestle.catalogues import Entry
+from firtrestle.clocks import Clock, Millis
+from firtrestle.errors import Refused
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold what is known of a query when it arrives."""
+
+    entry: Entry
+    urgent: bool
+    time_left: Millis
+    fleet_size: int
+
+
+class Admitter:
+    """Let a query in, or refuse it at once."""
+
+    name: str
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+
+    @classmethod
+    def from_config(cls, clock: Clock, rng: random.Random) -> Admitter:
+        """Build an admitter."""
+        return cls(clock, rng)
+
+    def admit(self, arrival: Arrival) -> Refused | None:
+        """Return a refusal, or None and count the query as running."""
+        raise NotImplementedError
+
+    def finished(self, arrival: Arrival, served: bool, latency: Millis) -> None:
+        """Take note that an admitted query ended, served in full or not."""
+        raise NotImplementedError
--- /dev/null
+++ b/packages/firtrestle/firtrestle/catalogues.py
@@ -0,0 +1,151 @@
+"""Read the catalogue: the entries that operators create."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from firtrestle.clocks import Millis
+from firtrestle.yaml_documents import Fault, check_document
+
+RESERVED_PREFIX = "/-/"
+COLLECTIONS_PREFIX = "/collections/"
+_NAME = r"^[a-z0-9][a-z0-9-]{0,62}$"
+
+
+class QueryClass(StrEnum):
+    """Rank queries when capacity is short."""
+
+    URGENT = "urgent"
+    ORDINARY = "ordinary"
+
+
+class EntryKind(StrEnum):
+    """Say whether requests of an entry may be repeated."""
+
+    SEARCH = "search"
+    SUBMIT = "submit"
+
+
+class Weighing(StrEnum):
+    """Say what an entry gives up last."""
+
+    LATENCY = "latency"
+    COVERAGE = "coverage"
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid")
+
+
+class LimitsModel(_Model):
+    """Check the limits of an entry."""
+
+    rate_per_second: float = Field(1_000.0, gt=0)
+    concurrency: int = Field(1_000, ge=1)
+
+
+class EntryModel(_Model):
+    """Check one entry."""
+
+    owner: str = Field(min_length=1)
+    collection: str = Field(pattern=_NAME)
+    query_class: QueryClass = Field(QueryClass.ORDINARY, alias="class")
+    kind: EntryKind = EntryKind.SEARCH
+    paths: list[str] = []
+    limits: LimitsModel = LimitsModel()
+    weighs: Weighing = Weighing.COVERAGE
+    least_coverage: float = Field(0.0, ge=0, le=1)
+    timeout_ms: int = Field(1_000, ge=1)
+    extra_load: float = Field(0.02, ge=0, le=0.5)
+
+    @model_validator(mode="after")
+    def _check_paths(self) -> EntryModel:
+        for path in self.paths:
+            if not path.startswith("/") or path.startswith((RESERVED_PREFIX, COLLECTIONS_PREFIX)):
+                raise ValueError(f"path '{path}' must start with / and not with a reserved prefix")
+        return self
+
+
+class CatalogueModel(_Model):
+    """Check a whole catalogue."""
+
+    entries: dict[str, EntryModel]
+
+    @model_validator(mode="after")
+    def _check_entries(self) -> CatalogueModel:
+        name_by_path: dict[str, str] = {}
+        for name, entry in self.entries.items():
+            if not name or not name.replace("-", "").isalnum() or name != name.lower():
+                raise ValueError(f"entry name '{name}' must be lower case letters, digits and -")
+            for path in entry.paths:
+                other = name_by_path.setdefault(path, name)
+                if other != name:
+                    raise ValueError(f"path '{path}' belongs to both '{other}' and '{name}'")
+        return self
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """Hold one entry in force."""
+
+    name: str
+    owner: str
+    collection: str
+    query_class: QueryClass
+    kind: EntryKind
+    paths: tuple[str, ...]
+    rate_per_second: float
+    concurrency: int
+    weighs: Weighing
+    least_coverage: float
+    timeout: Millis
+    extra_load: float
+
+
+@dataclass(frozen=True, slots=True)
+class Catalogue:
+    """Hold the entries of one revision."""
+
+    revision: int = 0
+    by_name: dict[str, Entry] = field(default_factory=dict)
+    by_path: dict[str, Entry] = field(default_factory=dict)
+
+    def entry_for(self, path: str) -> Entry | None:
+        """Return the entry of a caller's path, by name or by an old path."""
+        if path.startswith(COLLECTIONS_PREFIX):
+            return self.by_name.get(path.removeprefix(COLLECTIONS_PREFIX).strip("/"))
+        return self.by_path.get(path)
+
+    def collections(self) -> set[str]:
+        """Return the collections that any entry names."""
+        return {entry.collection for entry in self.by_name.values()}
+
+
+def parse_catalogue(text: str, revision: int) -> Catalogue | list[Fault]:
+    """Return the catalogue of a YAML text, or every fault in it."""
+    checked = check_document(text, CatalogueModel)
+    if isinstance(checked, list):
+        return checked
+    by_name = {name: _entry(name, model) for name, model in checked.entries.items()}
+    by_path = {path: entry for entry in by_name.values() for path in entry.paths}
+    return Catalogue(revision, by_name, by_path)
+
+
+def _entry(name: str, model: EntryModel) -> Entry:
+    return Entry(
+        name=name,
+        owner=model.owner,
+        collection=model.collection,
+        query_class=model.query_class,
+        kind=model.kind,
+        paths=tuple(model.paths),
+        rate_per_second=model.limits.rate_per_second,
+        concurrency=model.limits.concurrency,
+        weighs=model.weighs,
+        least_coverage=model.least_coverage,
+        timeout=Millis(model.timeout_ms),
+        extra_load=model.extra_load,
+    )
--- /dev/null
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -0,0 +1,339 @@
+"""Run `firtrestled`, the daemon."""
+
+from __future__ import annotations
+
+import errno
+import gc
+import random
+import signal
+import sys
+import time
+from functools import partial
+from pathlib import Path
+from typing import Annotated, Any
+
+import trio
+import typer
+from loguru import logger
+
+from firtrestle import signals
+from firtrestle.catalogues import RESERVED_PREFIX, Catalogue, parse_catalogue
+from firtrestle.claims import Claims, KeyTable
+from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.events import EventKind, EventLog
+from firtrestle.fronts import Front, FrontState
+from firtrestle.gathers import GatherTools
+from firtrestle.holders import Holders
+from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
+from firtrestle.joins import Joiner
+from firtrestle.kernels import Kernel, UnknownPolicy
+from firtrestle.logs import configure_logs
+from firtrestle.members import Members
+from firtrestle.operator_routes import OperatorRoutes
+from firtrestle.pauses import PauseGuard
+from firtrestle.peer_calls import PeerCalls
+from firtrestle.peers import PeerAddress, PeerClients, PeerFailure, PeerServer
+from firtrestle.platforms import DOCUMENT_PREFIX, DocumentWatcher
+from firtrestle.quarantines import Quarantines
+from firtrestle.replicas import Replicas
+from firtrestle.settings import Settings, load_settings
+from firtrestle.spreads import Item, Spreader, SpreadMap
+from firtrestle.vm_lists import parse_vm_list
+from firtrestle.voters import Voters
+
+EXIT_BAD_SETTINGS = 1
+EXIT_CANNOT_LISTEN = 3
+CATALOGUE = "catalogue"
+VMS = "vms"
+CREDIT_SPREAD_PAUSE = Millis(1_000)
+STOP_POLL = Millis(20)
+LISTEN_BACKLOG = 1_024
+COLLECTOR_THRESHOLD = 50_000  # allocations; fewer passes, so fewer pauses
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+class Daemon:
+    """Build the parts of one daemon and run them."""
+
+    def __init__(self, settings: Settings, kernel: Kernel, nursery: trio.Nursery) -> None:
+        self.settings = settings
+        self.clock = clock = Clock()
+        self.incarnation = time.time_ns() // 1_000_000
+        self._nursery = nursery
+        self._kernel = kernel
+        rng = random.Random(f"{settings.daemon.id}/{self.incarnation}")
+        process = settings.daemon.id
+        events = EventLog(process, self.incarnation, clock, settings.events.capacity)
+        self.events = events
+        self.items = SpreadMap()
+        self._spreader = Spreader(self.items, settings.peers.fanout, rng)
+        self._clients = PeerClients(nursery)
+        me = Members.me_from_config(settings.daemon, self.incarnation)
+        self.members = Members(
+            me, settings.peers, self._spreader, self._clients, clock, events, rng
+        )
+        self.holders = Holders(
+            self.members, self.items, settings.targets, clock, events, nursery, rng
+        )
+        self._pauses = PauseGuard(
+            clock, events, Millis(settings.peers.pause_ms), self.members.refresh
+        )
+        address = PeerAddress(settings.daemon.address, settings.daemon.peer_port)
+        self.voters = Voters(process, address, settings.claims, clock)
+        self._table = KeyTable(self.voters, settings.claims, clock)
+        self._claims = Claims(
+            f"{process}#{self.incarnation}", self.voters, self._call_voter, settings.claims, clock
+        )
+        quarantines = Quarantines(settings.quarantine, self.items, clock, events)
+        policies = settings.policies
+        tools = GatherTools(
+            clock=clock,
+            rng=rng,
+            events=events,
+            holders=self.holders,
+            replicas=Replicas(clock),
+            chooser=kernel.choosers.get(policies.chooser).from_config(settings.targets, clock, rng),
+            hedger=kernel.hedgers.get(policies.hedger).from_config(clock),
+            quarantines=quarantines,
+        )
+        self._tools = tools
+        admitter = kernel.admitters.get(policies.admitter).from_config(clock, rng)
+        self.state = FrontState(Catalogue())
+        self.front = Front(
+            settings, self.state, tools, self._claims, admitter, self.members, self._pauses
+        )
+        self._catalogue_watcher = DocumentWatcher(
+            CATALOGUE,
+            settings.platform.configuration_service,
+            _catalogue_faults,
+            settings.platform,
+            self.items,
+            self.members,
+            clock,
+            rng,
+        )
+        self._vms_watcher = DocumentWatcher(
+            VMS,
+            settings.platform.vm_list,
+            _vm_list_faults,
+            settings.platform,
+            self.items,
+            self.members,
+            clock,
+            rng,
+        )
+        self._joiner = Joiner(
+            me, self.voters, self._vms_watcher, self._clients, settings.platform, rng
+        )
+        self._peer_calls = PeerCalls(
+            self._spreader,
+            self.members,
+            self.holders,
+            self.voters,
+            self._table,
+            self._claims,
+            self._pauses,
+        )
+        self._peer_server = PeerServer(self._peer_calls.serve)
+        self._routes = OperatorRoutes(
+            self.front,
+            self.members,
+            self.holders,
+            self.items,
+            self.voters,
+            quarantines,
+            events,
+            [self._catalogue_watcher, self._vms_watcher],
+            self._clients,
+            self._peer_server,
+        )
+        front = settings.front
+        bounds = HttpBounds(
+            front.max_body_bytes, Millis(front.read_timeout_ms), Millis(front.idle_timeout_ms)
+        )
+        self._http = HttpServer(self._handle, bounds, front.max_connections)
+        self.items.listen(DOCUMENT_PREFIX + CATALOGUE, self._on_catalogue)
+        self.items.listen(DOCUMENT_PREFIX + VMS, self._on_vms)
+
+    async def run(self, ready: Any = None) -> None:
+        """Serve until stopped; raise OSError when a port can't be had."""
+        daemon = self.settings.daemon
+        callers = await _listen(daemon.address, daemon.port)
+        peers = await _listen(daemon.address, daemon.peer_port)
+        self.events.add(EventKind.STARTED, role="daemon", data_centre=daemon.data_centre)
+        logger.info("serving callers on port {}, peers on {}", daemon.port, daemon.peer_port)
+        start = self._nursery.start_soon
+        listening = trio.CancelScope()
+        start(self._accept, callers, self._http.serve, listening)
+        start(self._accept, peers, self._peer_server.serve, trio.CancelScope())
+        start(self._spreader.push_changes, self.members.live_peers, self.members.call)
+        start(self.members.run)
+        start(self.holders.run)
+        start(self._pauses.run)
+        start(self._vms_watcher.run, True)
+        start(self._catalogue_watcher.run, False)
+        start(self._joiner.run)
+        start(self._spread_credits)
+        if ready is not None:
+            ready.set()
+        await self._wait_for_stop(listening)
+
+    async def _accept(self, listener: Any, serve: Any, scope: trio.CancelScope) -> None:
+        with scope:
+            await trio.serve_listeners(serve, [listener], handler_nursery=self._nursery)
+
+    async def _wait_for_stop(self, listening: trio.CancelScope) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for _ in received:
+                break
+        await self._stop(listening)
+        self._nursery.cancel_scope.cancel()
+
+    async def _stop(self, listening: trio.CancelScope) -> None:
+        """Hand over, finish every request, and return."""
+        logger.info("stopping")
+        self.events.add(EventKind.STOPPING)
+        self.state.stopping = True
+        self.members.leave()
+        await sleep(Millis(self.settings.front.drain_ms))
+        listening.cancel()
+        self._http.close_idle()
+        with move_on_after(Millis(self.settings.front.max_timeout_ms)):
+            while self._is_busy():
+                await sleep(STOP_POLL)
+        self._kernel.ledger.spread(self.items, self._process())
+        self.events.add(EventKind.STOPPED)
+        await sleep(STOP_POLL)
+        logger.info("stopped")
+
+    def _is_busy(self) -> bool:
+        lanes = self.holders.held_targets().values()
+        held = any(lane.queue_length for lane in lanes)
+        return bool(
+            self.state.running or self._http.open_connections or self._peer_calls.running or held
+        )
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path.startswith(RESERVED_PREFIX):
+            return await self._routes.handle(request)
+        return await self.front.handle(request)
+
+    async def _call_voter(self, daemon_id: str, value: Any) -> Any:
+        if daemon_id == self.members.me.id:
+            return await self._peer_calls.serve(value)
+        address = self.voters.address_of(daemon_id)
+        if address is None:
+            return PeerFailure(False, "the daemon is unknown")
+        timeout = Millis(self.settings.peers.call_timeout_ms)
+        return await self._clients.get(address).call(value, timeout)
+
+    async def _spread_credits(self) -> None:
+        while True:
+            await sleep(CREDIT_SPREAD_PAUSE)
+            self._kernel.ledger.spread(self.items, self._process())
+
+    def _process(self) -> str:
+        return f"{self.settings.daemon.id}/{self.incarnation}"
+
+    def _on_catalogue(self, key: str, item: Item) -> None:
+        catalogue = parse_catalogue(item.value, item.stamp)
+        if isinstance(catalogue, list) or catalogue.revision <= self.state.catalogue.revision:
+            return
+        self.state.catalogue = catalogue
+        logger.info("catalogue revision {} is in force", catalogue.revision)
+        self.events.add(EventKind.CATALOGUE_APPLIED, revision=catalogue.revision)
+        signals.catalogue_applied.send(catalogue)
+
+    def _on_vms(self, key: str, item: Item) -> None:
+        vms = parse_vm_list(item.value, item.stamp)
+        if isinstance(vms, str):
+            return
+        self.events.add(EventKind.VMS_APPLIED, version=vms.version)
+        self.voters.apply_list(vms)
+        self._joiner.apply_list(vms)
+        self.members.apply_list(vms)
+        self.holders.apply_list(vms)
+        self._tools.replicas.forget_but(set(vms.targets()))
+
+
+async def _listen(address: str, port: int) -> trio.SocketListener:
+    listeners = await trio.open_tcp_listeners(port, host=address, backlog=LISTEN_BACKLOG)
+    return listeners[0]
+
+
+def _catalogue_faults(text: str, revision: int) -> list[str]:
+    parsed = parse_catalogue(text, revision)
+    return [str(fault) for fault in parsed] if isinstance(parsed, list) else []
+
+
+def _vm_list_faults(text: str, version: int) -> list[str]:
+    parsed = parse_vm_list(text, version)
+    return [parsed] if isinstance(parsed, str) else []
+
+
+async def serve(settings: Settings, kernel: Kernel) -> None:
+    """Run one daemon until it is told to stop."""
+    async with trio.open_nursery() as nursery:
+        daemon = Daemon(settings, kernel, nursery)
+        await daemon.run()
+
+
+@app.command()
+def start(
+    settings_file: Annotated[Path, typer.Argument(help="YAML file of settings")],
+    check: Annotated[bool, typer.Option("--check", help="check the settings and exit")] = False,
+) -> None:
+    """Serve queries as one daemon of the fleet."""
+    settings = load_settings(settings_file)
+    if isinstance(settings, list):
+        for fault in settings:
+            typer.echo(f"{settings_file}: {fault}", err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS)
+    kernel = _build_kernel(settings, settings_file)
+    if check:
+        typer.echo(f"{settings_file}: good")
+        return
+    configure_logs(settings.logs, settings.daemon)
+    gc.freeze()
+    gc.set_threshold(COLLECTOR_THRESHOLD)
+    try:
+        trio.run(partial(serve, settings, kernel))
+    except* OSError as errors:
+        _report_os_error(errors.exceptions[0])
+
+
+def _build_kernel(settings: Settings, settings_file: Path) -> Kernel:
+    """Load the plug-ins and make sure that the chosen policies exist."""
+    try:
+        kernel = Kernel.from_plugins(settings.plugins)
+        kernel.choosers.get(settings.policies.chooser)
+        kernel.hedgers.get(settings.policies.hedger)
+        kernel.admitters.get(settings.policies.admitter)
+    except (ImportError, AttributeError, UnknownPolicy) as error:
+        typer.echo(f"{settings_file}: {error}", err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from error
+    return kernel
+
+
+def _report_os_error(error: BaseException) -> None:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    if getattr(error, "errno", None) != errno.EADDRINUSE:
+        raise error
+    typer.echo(f"cannot listen: {error.strerror}", err=True)
+    raise typer.Exit(EXIT_CANNOT_LISTEN)
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Parse the command line, configure logging, build the daemon and run it."""
+    app(args=argv)
+
+
+def run() -> None:
+    """Enter from the installed script."""
+    main(sys.argv[1:])
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -0,0 +1,243 @@
+"""Take callers' requests and answer them."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+from firtrestle import signals
+from firtrestle.admitters import Admitter, Arrival
+from firtrestle.catalogues import Catalogue, Entry, EntryKind, QueryClass
+from firtrestle.claims import Claims
+from firtrestle.clocks import Clock, Millis
+from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.events import EventKind, EventLog
+from firtrestle.gathers import GatherTools
+from firtrestle.http_servers import HttpRequest, HttpResponse
+from firtrestle.members import Members
+from firtrestle.pauses import PauseGuard
+from firtrestle.problems import problem_response
+from firtrestle.queries import Gathered, Query
+from firtrestle.searches import Searches, SnapshotViews
+from firtrestle.settings import Settings
+from firtrestle.snapshots import pin
+from firtrestle.submits import Receipt, Submits, check_key
+
+REQUEST_ID_HEADER = "x-request-id"
+TIMEOUT_HEADER = "request-timeout-ms"
+PRIORITY_HEADER = "priority"
+KEY_HEADER = "idempotency-key"
+MAX_ID_LENGTH = 128
+URGENT_LEVELS = ("u=0", "u=1", "u=2")  # of RFC 9218
+ORDINARY_LEVELS = ("u=3", "u=4", "u=5", "u=6", "u=7")
+
+
+@dataclass(slots=True)
+class FrontState:
+    """Hold what changes while the front runs."""
+
+    catalogue: Catalogue
+    stopping: bool = False
+    running: int = 0
+
+
+class Front:
+    """Admit, run and answer queries."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        state: FrontState,
+        tools: GatherTools,
+        claims: Claims,
+        admitter: Admitter,
+        members: Members,
+        pauses: PauseGuard,
+    ) -> None:
+        self.state = state
+        self.views = SnapshotViews(tools)
+        self._settings = settings
+        self._tools = tools
+        self._searches = Searches(tools, self.views)
+        self._submits = Submits(tools, claims)
+        self._admitter = admitter
+        self._members = members
+        self._pauses = pauses
+        self._clock: Clock = tools.clock
+        self._events: EventLog = tools.events
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request on a collection or an old path."""
+        request_id = request.header(REQUEST_ID_HEADER) or str(uuid.uuid4())
+        if len(request_id) > MAX_ID_LENGTH or not request_id.isprintable():
+            refused = Refused(
+                ErrorKind.BAD_REQUEST, detail="X-Request-Id is too long or unprintable"
+            )
+            return problem_response(refused, "")
+        started_at = self._clock.now()
+        self._events.add(EventKind.QUERY_RECEIVED, request_id, path=request.path)
+        self.state.running += 1
+        answered = False
+        try:
+            response = await self._answer(request, request_id, started_at)
+            answered = True
+            return response
+        finally:
+            self.state.running -= 1
+            if not answered:
+                self._events.add(EventKind.QUERY_LEFT, request_id)
+
+    async def _answer(
+        self, request: HttpRequest, request_id: str, started_at: Millis
+    ) -> HttpResponse:
+        entry = self._entry_of(request)
+        if isinstance(entry, Refused):
+            return self._refuse(entry, request_id, "")
+        query = self._read_query(request, request_id, entry, started_at)
+        if isinstance(query, Refused):
+            return self._refuse(query, request_id, entry.name)
+        await self._pauses.settle()
+        left = Millis(query.give_up_at - self._clock.now())
+        arrival = Arrival(entry, query.urgent, left, len(self._members.live()))
+        refused = self._held_off(query) or self._admitter.admit(arrival)
+        if refused is not None:
+            return self._refuse(refused, request_id, entry.name)
+        result: Gathered | Receipt | Refused = Refused(ErrorKind.INTERNAL, Ran.UNKNOWN)
+        try:
+            result = await self._run(query)
+        finally:
+            latency = Millis(self._clock.now() - started_at)
+            self._admitter.finished(arrival, _is_served(result), latency)
+        if isinstance(result, Refused):
+            return self._refuse(result, request_id, entry.name)
+        return self._send(query, result, latency)
+
+    async def _run(self, query: Query) -> Gathered | Receipt | Refused:
+        if query.entry.kind is EntryKind.SEARCH:
+            return await self._searches.run(query)
+        snapshot = pin(self.views.of(query.entry.collection))
+        if snapshot is None:
+            return Refused(ErrorKind.NO_TARGET)
+        return await self._submits.run(query, snapshot)
+
+    def _entry_of(self, request: HttpRequest) -> Entry | Refused:
+        if self.state.catalogue.revision == 0:
+            return Refused(ErrorKind.NOT_READY)
+        entry = self.state.catalogue.entry_for(request.path)
+        if entry is None:
+            return Refused(ErrorKind.NOT_FOUND, detail=f"nothing is served at {request.path}")
+        wanted = ("GET", "POST") if entry.kind is EntryKind.SEARCH else ("POST",)
+        if request.method not in wanted:
+            return Refused(ErrorKind.METHOD_NOT_ALLOWED, detail=f"use {' or '.join(wanted)}")
+        return entry
+
+    def _read_query(
+        self, request: HttpRequest, request_id: str, entry: Entry, started_at: Millis
+    ) -> Query | Refused:
+        body = _read_body(request)
+        if isinstance(body, Refused):
+            return body
+        timeout = self._read_timeout(request, entry)
+        if isinstance(timeout, Refused):
+            return timeout
+        urgent = _read_priority(request, entry)
+        if isinstance(urgent, Refused):
+            return urgent
+        key = request.header(KEY_HEADER).strip('"')
+        if entry.kind is EntryKind.SUBMIT:
+            refused = check_key(key, self._settings.claims, self._clock)
+            if refused is not None:
+                return refused
+        reserve = self._settings.front.answer_reserve_ms
+        give_up_at = Millis(started_at + timeout - reserve)
+        return Query(request_id, entry, body, urgent, give_up_at, key)
+
+    def _read_timeout(self, request: HttpRequest, entry: Entry) -> Millis | Refused:
+        raw = request.header(TIMEOUT_HEADER)
+        if not raw:
+            return entry.timeout
+        if not raw.isascii() or not raw.isdigit() or int(raw) < 1:
+            detail = "Request-Timeout-Ms must be a whole number of milliseconds"
+            return Refused(ErrorKind.BAD_REQUEST, detail=detail)
+        return Millis(min(int(raw), self._settings.front.max_timeout_ms))
+
+    def _held_off(self, query: Query) -> Refused | None:
+        left = self._tools.quarantines.time_left(query.fingerprint)
+        if left is None:
+            return None
+        return Refused(ErrorKind.QUARANTINED, retry_after=left)
+
+    def _refuse(self, refused: Refused, request_id: str, entry_name: str) -> HttpResponse:
+        self._events.add(
+            EventKind.QUERY_REFUSED,
+            request_id,
+            entry=entry_name,
+            refusal=str(refused.kind),
+            ran=str(refused.ran),
+            detail=refused.detail,
+        )
+        signals.query_refused.send(entry_name, refused=refused)
+        return problem_response(refused, request_id)
+
+    def _send(self, query: Query, result: Gathered | Receipt, latency: Millis) -> HttpResponse:
+        document, fields = _describe(query, result)
+        self._events.add(
+            EventKind.QUERY_ANSWERED,
+            query.request_id,
+            entry=query.entry.name,
+            latency_ms=round(latency, 3),
+            **fields,
+        )
+        signals.query_answered.send(query.entry.name, query=query, result=result, latency=latency)
+        headers = {"X-Request-Id": query.request_id}
+        if isinstance(result, Receipt) and result.replayed:
+            headers["Idempotent-Replayed"] = "true"
+        return HttpResponse(200, json.dumps(document).encode(), headers=headers)
+
+
+def _is_served(result: Gathered | Receipt | Refused) -> bool:
+    if isinstance(result, Gathered):
+        return result.whole
+    return isinstance(result, Receipt)
+
+
+def _describe(query: Query, result: Gathered | Receipt) -> tuple[dict[str, Any], dict[str, Any]]:
+    """Return the answer's document and the fields of its event."""
+    if isinstance(result, Receipt):
+        return result.document, {"key": query.key, "replayed": result.replayed}
+    fields = {
+        "version": result.snapshot.version,
+        "covered": result.covered,
+        "total": result.snapshot.total_documents,
+        "covered_by_shard": {str(k): v for k, v in result.covered_by_shard.items()},
+        "rows": len(result.rows_by_id),
+        "sent": result.sent,
+        "shards": len(result.snapshot.documents_by_shard),
+    }
+    return result.to_document(query), fields
+
+
+def _read_body(request: HttpRequest) -> dict[str, Any] | Refused:
+    raw: str | bytes = request.body
+    if request.method == "GET":
+        raw = request.parameters.get("q", "{}")
+    try:
+        body = json.loads(raw or "{}")
+    except (ValueError, RecursionError):
+        return Refused(ErrorKind.BAD_REQUEST, detail="the query is not JSON")
+    if not isinstance(body, dict):
+        return Refused(ErrorKind.BAD_REQUEST, detail="the query must be a JSON object")
+    return body
+
+
+def _read_priority(request: HttpRequest, entry: Entry) -> bool | Refused:
+    """Return whether the query is urgent; a caller may lower its entry's class, not raise it."""
+    raw = request.header(PRIORITY_HEADER).split(",")[0].strip()
+    urgent_entry = entry.query_class is QueryClass.URGENT
+    if not raw or raw in URGENT_LEVELS:
+        return urgent_entry
+    if raw in ORDINARY_LEVELS:
+        return False
+    return Refused(ErrorKind.BAD_REQUEST, detail="Priority must be u=0 to u=7 (RFC 9218)")
--- /dev/null
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -0,0 +1,379 @@
+"""Scatter one query over the shards of a snapshot and gather the replies."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from statistics import median
+
+import trio
+
+from firtrestle import signals
+from firtrestle.budgets import ExtraLoadBudget
+from firtrestle.catalogues import Weighing
+from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.events import EventKind, EventLog
+from firtrestle.hedgers import Hedger, Progress
+from firtrestle.holders import Holders
+from firtrestle.latencies import LatencyWindow
+from firtrestle.messages import SubReply, SubRequest
+from firtrestle.outcomes import SubOutcome
+from firtrestle.quarantines import Quarantines
+from firtrestle.queries import Gathered, MissingShard, Query
+from firtrestle.replica_choosers import ReplicaChooser
+from firtrestle.replicas import Replica, Replicas
+from firtrestle.snapshots import ReplicaId, Snapshot
+
+RETRY_PAUSE = Millis(30)
+MAX_TRIES_PER_SHARD = 8
+LATENCY_SHARE = 0.5  # of the time, after which an entry that weighs latency stops waiting
+SAME_REPLICA_AGAIN = frozenset({SubOutcome.UNREACHABLE, SubOutcome.NOT_HOLDER})
+FINAL = frozenset({SubOutcome.DEADLINE, SubOutcome.CANCELLED})
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotGone:
+    """Say that a shard of the pinned version is served no more."""
+
+    version: int
+    sent: int
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """Say that the query was held off while it ran."""
+
+    sent: int
+
+
+@dataclass(slots=True)
+class GatherTools:
+    """Hold what all gathers of a daemon share."""
+
+    clock: Clock
+    rng: random.Random
+    events: EventLog
+    holders: Holders
+    replicas: Replicas
+    chooser: ReplicaChooser
+    hedger: Hedger
+    quarantines: Quarantines
+    window_by_collection: dict[str, LatencyWindow] = field(default_factory=dict)
+    budget_by_entry: dict[str, ExtraLoadBudget] = field(default_factory=dict)
+
+    def window(self, collection: str) -> LatencyWindow:
+        """Return the sub-request latencies of a collection."""
+        if collection not in self.window_by_collection:
+            self.window_by_collection[collection] = LatencyWindow(self.clock)
+        return self.window_by_collection[collection]
+
+    def budget(self, entry_name: str, fraction: float) -> ExtraLoadBudget:
+        """Return the extra-load budget of an entry."""
+        budget = self.budget_by_entry.get(entry_name)
+        if budget is None or budget.fraction != fraction:
+            budget = ExtraLoadBudget(fraction, self.clock)
+            self.budget_by_entry[entry_name] = budget
+        return budget
+
+
+@dataclass(slots=True)
+class _Attempt:
+    number: int
+    shard: int
+    replica: Replica
+    sent_at: Millis
+    scope: trio.CancelScope
+
+
+@dataclass(slots=True)
+class _Shard:
+    number: int
+    tries: int = 0
+    tried: set[ReplicaId] = field(default_factory=set)
+    attempts: list[_Attempt] = field(default_factory=list)
+    hedged: bool = False
+
+
+class Gather:
+    """Run one scatter of one query over one snapshot."""
+
+    def __init__(
+        self, tools: GatherTools, query: Query, snapshot: Snapshot, numbers: itertools.count
+    ) -> None:
+        self._tools = tools
+        self._query = query
+        self._snapshot = snapshot
+        self._numbers = numbers
+        self._window = tools.window(snapshot.collection)
+        self._budget = tools.budget(query.entry.name, query.entry.extra_load)
+        self._result = Gathered(snapshot)
+        self._open_by_shard: dict[int, _Shard] = {}
+        self._waiting_shards: deque[int] = deque()
+        self._latencies: list[Millis] = []
+        self._started_at = tools.clock.now()
+        self._send, self._receive = trio.open_memory_channel(10_000)
+        self._nursery: trio.Nursery
+        self._ended: SnapshotGone | Quarantined | None = None
+        self._may_move = True
+
+    async def run(self, may_move: bool = True) -> Gathered | SnapshotGone | Quarantined:
+        """Return what was gathered by the deadline; `may_move` allows SnapshotGone."""
+        self._may_move = may_move
+        shards = range(len(self._snapshot.documents_by_shard))
+        self._open_by_shard = {shard: _Shard(shard) for shard in shards}
+        self._budget.earn(len(shards))
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._send_first()
+            while self._open_by_shard and self._ended is None and not self._is_hopeless():
+                if self._tools.clock.now() >= self._stop_at():
+                    break
+                await self._step()
+            nursery.cancel_scope.cancel()
+        if self._ended is not None:
+            return self._ended
+        for shard in list(self._open_by_shard):
+            self._miss(shard, SubOutcome.DEADLINE)
+        return self._result
+
+    async def _step(self) -> None:
+        """Take one reply, or hedge when none came in time."""
+        with move_on_after(Millis(self._next_wake() - self._tools.clock.now())):
+            attempt, reply = await self._receive.receive()
+            self._take(attempt, reply)
+            return
+        self._hedge_late()
+
+    def _send_first(self) -> None:
+        """Send to each shard, or to a canary alone for a query without history."""
+        shards = list(self._open_by_shard)
+        canaries = self._tools.quarantines.canaries_for(self._query.fingerprint)
+        if canaries and len(shards) > canaries:
+            self._tools.rng.shuffle(shards)
+            self._waiting_shards.extend(shards[canaries:])
+            shards = shards[:canaries]
+        for shard in shards:
+            self._send_next(shard)
+
+    def _release_waiting(self) -> None:
+        while self._waiting_shards:
+            self._send_next(self._waiting_shards.popleft())
+
+    def _replace_canary(self) -> None:
+        """Go on after a canary failed: with one more if a target died, else with all."""
+        if not self._tools.quarantines.is_suspect(self._query.fingerprint):
+            self._release_waiting()
+        elif self._waiting_shards:
+            self._send_next(self._waiting_shards.popleft())
+
+    def _send_next(self, shard: int, repeat: bool = False) -> bool:
+        """Send a shard's sub-request to its best untried replica; return whether there is one."""
+        state = self._open_by_shard[shard]
+        ids = self._snapshot.replicas_by_shard.get(shard, ())
+        untried = [one for one in ids if one not in state.tried] or (ids if repeat else [])
+        other_targets = self._elsewhere(state, untried)
+        replica = self._tools.chooser.choose(
+            [self._tools.replicas.get(one) for one in other_targets or untried]
+        )
+        if replica is None:
+            if not state.attempts:
+                self._miss(shard, SubOutcome.NO_REPLICA)
+            return False
+        state.tries += 1
+        state.tried.add(replica.id)
+        number = next(self._numbers)
+        attempt = _Attempt(number, shard, replica, self._tools.clock.now(), trio.CancelScope())
+        state.attempts.append(attempt)
+        self._nursery.start_soon(self._run_attempt, attempt)
+        return True
+
+    def _elsewhere(self, state: _Shard, ids: list[ReplicaId]) -> list[ReplicaId]:
+        targets = {one.target_id for one in state.tried}
+        return [one for one in ids if one.target_id not in targets]
+
+    async def _run_attempt(self, attempt: _Attempt) -> None:
+        sub = self._sub_request(attempt)
+        replica = attempt.replica
+        replica.in_flight += 1
+        self._result.sent += 1
+        signals.sub_request_sent.send(self._query.entry.name)
+        try:
+            with attempt.scope:
+                reply = await self._tools.holders.send(sub)
+                self._send.send_nowait((attempt, reply))
+        finally:
+            replica.in_flight -= 1
+
+    def _sub_request(self, attempt: _Attempt) -> SubRequest:
+        query = self._query
+        return SubRequest(
+            request_id=query.request_id,
+            attempt=attempt.number,
+            target_id=attempt.replica.id.target_id,
+            searcher=attempt.replica.id.searcher,
+            collection=self._snapshot.collection,
+            version=self._snapshot.version,
+            shard=attempt.shard,
+            kind="search",
+            query=query.body,
+            budget_ms=max(0.0, query.give_up_at - self._tools.clock.now()),
+            urgent=query.urgent,
+            fingerprint=query.fingerprint,
+        )
+
+    def _take(self, attempt: _Attempt, reply: SubReply) -> None:
+        now = self._tools.clock.now()
+        latency = Millis(now - attempt.sent_at)
+        outcome = self._checked_outcome(attempt, reply)
+        attempt.replica.note(outcome, latency, reply.queue, now)
+        state = self._open_by_shard.get(attempt.shard)
+        if state is None:
+            return
+        state.attempts.remove(attempt)
+        if outcome is SubOutcome.OK:
+            self._accept(state, reply, latency)
+        else:
+            self._fail(state, attempt, reply, outcome)
+
+    def _checked_outcome(self, attempt: _Attempt, reply: SubReply) -> SubOutcome:
+        outcome = SubOutcome(reply.outcome)
+        if outcome is not SubOutcome.OK:
+            return outcome
+        sent = (self._query.request_id, attempt.number, attempt.shard, self._snapshot.version)
+        if sent != (reply.request_id, reply.attempt, reply.shard, reply.version):
+            return SubOutcome.BAD_REPLY
+        return SubOutcome.OK
+
+    def _accept(self, state: _Shard, reply: SubReply, latency: Millis) -> None:
+        """Merge a shard's rows once, and cancel its other attempts."""
+        del self._open_by_shard[state.number]
+        for loser in state.attempts:
+            lost = Millis(self._tools.clock.now() - loser.sent_at)
+            loser.replica.note_slow(lost)
+            self._window.add(lost)
+            loser.scope.cancel()
+        self._latencies.append(latency)
+        self._window.add(latency)
+        for row in reply.rows:
+            if self._result.rows_by_id.setdefault(str(row.get("id")), row) is not row:
+                self._result.doubled_rows += 1
+        documents = self._snapshot.documents_by_shard[state.number]
+        covered = min(documents, reply.documents)
+        self._result.covered_by_shard[state.number] = covered
+        if covered < documents or reply.truncated:
+            missing = MissingShard(state.number, documents - covered, "truncated")
+            self._result.missing_by_shard[state.number] = missing
+        self._tools.quarantines.clear(self._query.fingerprint)
+        self._release_waiting()
+
+    def _fail(self, state: _Shard, attempt: _Attempt, reply: SubReply, outcome: SubOutcome) -> None:
+        self._tools.events.add(
+            EventKind.SUB_FAILED,
+            self._query.request_id,
+            shard=state.number,
+            target=attempt.replica.id.target_id,
+            outcome=str(outcome),
+            reason=reply.reason,
+        )
+        if outcome is SubOutcome.DIED and self._died(attempt):
+            return
+        if state.attempts:
+            return
+        if outcome in FINAL or state.tries >= MAX_TRIES_PER_SHARD:
+            self._miss(state.number, outcome)
+            return
+        if self._may_retry(reply, outcome) and self._send_next(state.number):
+            return
+        if state.number not in self._open_by_shard:
+            return
+        if outcome is SubOutcome.SNAPSHOT_GONE and self._may_move:
+            self._ended = SnapshotGone(self._snapshot.version, self._result.sent)
+        elif outcome in SAME_REPLICA_AGAIN and not reply.sent:
+            self._nursery.start_soon(self._send_again_soon, state)
+        else:
+            self._miss(state.number, outcome)
+
+    def _died(self, attempt: _Attempt) -> bool:
+        """Count a target's death against the query; return whether it is held off now."""
+        target_id = attempt.replica.id.target_id
+        quarantines = self._tools.quarantines
+        if self._result.covered_by_shard:
+            return False
+        if quarantines.note_death(self._query.fingerprint, self._query.entry.name, target_id):
+            self._ended = Quarantined(self._result.sent)
+            return True
+        return False
+
+    def _may_retry(self, reply: SubReply, outcome: SubOutcome) -> bool:
+        """Say whether another try is free, or paid from the budget."""
+        return not reply.sent or outcome is SubOutcome.DRAINING or self._budget.spend_on_retry()
+
+    async def _send_again_soon(self, state: _Shard) -> None:
+        await sleep(Millis(RETRY_PAUSE * state.tries))
+        if state.number in self._open_by_shard and not state.attempts:
+            self._send_next(state.number, repeat=True)
+
+    def _miss(self, shard: int, reason: SubOutcome) -> None:
+        self._open_by_shard.pop(shard, None)
+        documents = self._snapshot.documents_by_shard[shard]
+        self._result.missing_by_shard[shard] = MissingShard(shard, documents, reason)
+        if not self._open_by_shard.keys() - set(self._waiting_shards):
+            self._replace_canary()
+
+    def _is_hopeless(self) -> bool:
+        """Say whether the least coverage can't be reached any more."""
+        total = self._snapshot.total_documents
+        lost = sum(one.documents for one in self._result.missing_by_shard.values())
+        return total > 0 and (total - lost) / total < self._query.entry.least_coverage
+
+    def _stop_at(self) -> Millis:
+        """Return when to stop waiting."""
+        query = self._query
+        if query.entry.weighs is Weighing.LATENCY and self._reached_least_coverage():
+            allowed = (query.give_up_at - self._started_at) * LATENCY_SHARE
+            return Millis(self._started_at + allowed)
+        return query.give_up_at
+
+    def _reached_least_coverage(self) -> bool:
+        return self._result.coverage >= max(self._query.entry.least_coverage, 0.01)
+
+    def _next_wake(self) -> Millis:
+        stop_at = self._stop_at()
+        delay = self._hedge_delay()
+        if delay is None:
+            return stop_at
+        candidates = [s.attempts[0].sent_at for s in self._hedgeable()]
+        return Millis(min(stop_at, min(candidates, default=stop_at) + delay))
+
+    def _hedge_delay(self) -> Millis | None:
+        shards = len(self._snapshot.documents_by_shard)
+        if not self._latencies and shards > 1:
+            return None
+        middle = Millis(median(self._latencies)) if self._latencies else Millis(0)
+        elapsed = Millis(self._tools.clock.now() - self._started_at)
+        progress = Progress(shards, len(self._latencies), elapsed, middle)
+        return self._tools.hedger.delay(self._window, progress)
+
+    def _hedgeable(self) -> list[_Shard]:
+        return [s for s in self._open_by_shard.values() if s.attempts and not s.hedged]
+
+    def _hedge_late(self) -> None:
+        """Send a second sub-request for each shard past the hedge delay, within the budget."""
+        delay = self._hedge_delay()
+        if delay is None or self._tools.quarantines.is_suspect(self._query.fingerprint):
+            return
+        now = self._tools.clock.now()
+        for state in self._hedgeable():
+            if now - state.attempts[0].sent_at < delay:
+                continue
+            state.hedged = True
+            if not self._has_other_replica(state) or not self._budget.spend_on_hedge():
+                continue
+            self._send_next(state.number)
+            self._tools.events.add(EventKind.SUB_HEDGED, self._query.request_id, shard=state.number)
+
+    def _has_other_replica(self, state: _Shard) -> bool:
+        ids = self._snapshot.replicas_by_shard.get(state.number, ())
+        return bool(self._elsewhere(state, [one for one in ids if one not in state.tried]))
--- /dev/null
+++ b/packages/firtrestle/firtrestle/holders.py
@@ -0,0 +1,246 @@
+"""Hold the targets that fall to this daemon, and route to the others' holders."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+
+import trio
+from loguru import logger
+
+from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.events import EventKind, EventLog
+from firtrestle.http_clients import HttpFailure, HttpReply
+from firtrestle.lanes import Lane, keep_warm
+from firtrestle.members import Member, Members
+from firtrestle.messages import SubReply, SubRequest
+from firtrestle.outcomes import SubOutcome
+from firtrestle.peers import PeerFailure
+from firtrestle.rendezvous import owner
+from firtrestle.settings import TargetSettings
+from firtrestle.spreads import Item, SpreadMap
+from firtrestle.target_reports import REPORT_PREFIX, TargetReport, TargetState, read_report
+from firtrestle.vm_lists import Vm, VmList, VmState
+
+PROBES_UNTIL_DOWN = 2
+WATCH_PAUSE = Millis(100)
+
+
+@dataclass(slots=True)
+class _Held:
+    """Hold the lane of one held target and the scope of its tasks."""
+
+    lane: Lane
+    scope: trio.CancelScope
+    failed_probes: int = 0
+    probe_now: trio.Event = field(default_factory=trio.Event)
+
+
+class Holders:
+    """Know each target's holder, and be the holder where this daemon is."""
+
+    def __init__(
+        self,
+        members: Members,
+        items: SpreadMap,
+        settings: TargetSettings,
+        clock: Clock,
+        events: EventLog,
+        nursery: trio.Nursery,
+        rng: random.Random,
+    ) -> None:
+        self.report_by_target: dict[str, TargetReport] = {}
+        self.reports_version = 0
+        self.vm_by_id: dict[str, Vm] = {}
+        self._members = members
+        self._items = items
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._nursery = nursery
+        self._rng = rng
+        self._held_by_id: dict[str, _Held] = {}
+        self._holder_by_target: dict[str, str | None] = {}
+        self._holder_version = (-1, -1)
+        self._list_version = 0
+        items.guard(REPORT_PREFIX, _is_report)
+        items.listen(REPORT_PREFIX, self._on_report)
+
+    def held_targets(self) -> dict[str, Lane]:
+        """Return the lanes of the targets held here."""
+        return {target_id: held.lane for target_id, held in self._held_by_id.items()}
+
+    def apply_list(self, vms: VmList) -> None:
+        """Take over the listed targets; a leaving one gets no new work."""
+        self.vm_by_id = vms.targets()
+        self._list_version += 1
+        self.reports_version += 1
+        for target_id in list(self.report_by_target):
+            if target_id not in self.vm_by_id:
+                del self.report_by_target[target_id]
+                self._items.remove(REPORT_PREFIX + target_id)
+        self._rehold()
+
+    def reports(self) -> list[TargetReport]:
+        """Return the reports of the listed targets, with leaving ones as draining."""
+        return [self._effective(report) for report in self.report_by_target.values()]
+
+    def holder_of(self, target_id: str) -> str | None:
+        """Return the daemon that holds a target, in this daemon's view."""
+        version = (self._members.version, self._list_version)
+        if version != self._holder_version:
+            self._holder_by_target.clear()
+            self._holder_version = version
+        if target_id not in self._holder_by_target:
+            self._holder_by_target[target_id] = self._rank_first(target_id)
+        return self._holder_by_target[target_id]
+
+    async def send(self, sub: SubRequest) -> SubReply:
+        """Run a sub-request here or through its target's holder."""
+        holder_id = self.holder_of(sub.target_id)
+        if holder_id == self._members.me.id:
+            return await self.run_here(sub)
+        holder = self._members.by_id.get(holder_id or "")
+        if holder is None:
+            return SubReply(SubOutcome.UNREACHABLE, reason="no holder is known")
+        return await self._relay(holder, sub)
+
+    async def run_here(self, sub: SubRequest) -> SubReply:
+        """Run a sub-request on a target held here, for any daemon's front."""
+        held = self._held_by_id.get(sub.target_id)
+        if held is None:
+            return SubReply(SubOutcome.NOT_HOLDER, reason="the target is held elsewhere")
+        vm = self.vm_by_id.get(sub.target_id)
+        if vm is None or vm.state is VmState.LEAVING:
+            return SubReply(SubOutcome.DRAINING, reason="the target is leaving")
+        reply = await held.lane.run(sub)
+        if reply.outcome == SubOutcome.SNAPSHOT_GONE:
+            held.probe_now.set()
+        if reply.outcome in (SubOutcome.DRAINING, SubOutcome.UNREACHABLE, SubOutcome.DIED):
+            self._note_trouble(held, SubOutcome(reply.outcome))
+        return reply
+
+    async def run(self) -> None:
+        """Follow changes of the fleet, for ever."""
+        seen = (-1, -1)
+        while True:
+            now = (self._members.version, self._list_version)
+            if now != seen:
+                seen = now
+                self._rehold()
+            await sleep(WATCH_PAUSE)
+
+    async def _relay(self, holder: Member, sub: SubRequest) -> SubReply:
+        answer = await self._members.call_for(holder, sub, Millis(sub.budget_ms))
+        if isinstance(answer, SubReply):
+            return answer
+        if isinstance(answer, PeerFailure) and not answer.sent:
+            return SubReply(SubOutcome.UNREACHABLE, reason=answer.reason)
+        return SubReply(SubOutcome.HOLDER_LOST, sent=True, reason="the holder was lost")
+
+    def _rank_first(self, target_id: str) -> str | None:
+        vm = self.vm_by_id.get(target_id)
+        return owner(target_id, self._members.live_ids(vm.data_centre if vm else None))
+
+    def _rehold(self) -> None:
+        me = self._members.me.id
+        mine = {target_id for target_id in self.vm_by_id if self.holder_of(target_id) == me}
+        for target_id in set(self._held_by_id) - mine:
+            held = self._held_by_id.pop(target_id)
+            held.scope.cancel()
+            held.lane.close()
+        for target_id in mine - set(self._held_by_id):
+            self._hold(self.vm_by_id[target_id])
+
+    def _hold(self, vm: Vm) -> None:
+        lane = Lane(vm, self._settings, self._clock, self._nursery)
+        report = self.report_by_target.get(vm.id)
+        if report is not None and report.state is not TargetState.DOWN:
+            lane.report = report
+        held = _Held(lane, trio.CancelScope())
+        self._held_by_id[vm.id] = held
+        self._nursery.start_soon(self._watch, held)
+
+    async def _watch(self, held: _Held) -> None:
+        with held.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(keep_warm, held.lane, Millis(self._settings.probe_ms))
+                while True:
+                    self._take_status(held, await held.lane.probe())
+                    with move_on_after(
+                        Millis(self._settings.probe_ms * self._rng.uniform(0.8, 1.2))
+                    ):
+                        await held.probe_now.wait()
+                    held.probe_now = trio.Event()
+
+    def _take_status(self, held: _Held, reply: HttpReply | HttpFailure) -> None:
+        if isinstance(reply, HttpFailure) and not reply.sent and "free" in reply.reason:
+            return
+        report = None
+        if isinstance(reply, HttpReply) and reply.status == 200:
+            read = read_report(held.lane.vm.id, reply.json())
+            if isinstance(read, str):
+                logger.warning("target {} reports nonsense: {}", held.lane.vm.id, read)
+            else:
+                report = read
+        if report is None:
+            held.failed_probes += 1
+            if held.failed_probes >= PROBES_UNTIL_DOWN:
+                self._report_state(held, TargetState.DOWN)
+            return
+        held.failed_probes = 0
+        held.lane.report = report
+        self._publish(report)
+
+    def _note_trouble(self, held: _Held, outcome: SubOutcome) -> None:
+        if outcome is SubOutcome.DRAINING:
+            self._report_state(held, TargetState.DRAINING)
+        elif outcome is SubOutcome.UNREACHABLE:
+            held.failed_probes += 1
+            if held.failed_probes >= PROBES_UNTIL_DOWN:
+                self._report_state(held, TargetState.DOWN)
+        else:
+            self._events.add(EventKind.TARGET_DIED, target=held.lane.vm.id)
+
+    def _report_state(self, held: _Held, state: TargetState) -> None:
+        report = self.report_by_target.get(held.lane.vm.id)
+        if report is not None and report.state is not state:
+            self._publish(replace(report, state=state))
+
+    def _publish(self, report: TargetReport) -> None:
+        """Spread a report when it says something new."""
+        if self.report_by_target.get(report.target_id) == report:
+            return
+        stamp = round(self._clock.wall())
+        held = self._items.by_key.get(REPORT_PREFIX + report.target_id)
+        if held is not None:
+            stamp = max(stamp, held.stamp + 1)
+        self._items.put(REPORT_PREFIX + report.target_id, stamp, report.to_value())
+
+    def _on_report(self, key: str, item: Item) -> None:
+        target_id = key.removeprefix(REPORT_PREFIX)
+        report = read_report(target_id, item.value)
+        if isinstance(report, str):
+            return
+        before = self.report_by_target.get(target_id)
+        self.report_by_target[target_id] = report
+        self.reports_version += 1
+        if report.state is TargetState.DRAINING and (
+            before is None or before.state != report.state
+        ):
+            self._events.add(EventKind.TARGET_LEAVING, target=target_id)
+        held = self._held_by_id.get(target_id)
+        if held is not None and held.lane.report is None and report.state is not TargetState.DOWN:
+            held.lane.report = report
+
+    def _effective(self, report: TargetReport) -> TargetReport:
+        vm = self.vm_by_id.get(report.target_id)
+        if vm is None:
+            return replace(report, state=TargetState.DOWN)
+        if vm.state is VmState.LEAVING and report.state is not TargetState.DOWN:
+            return replace(report, state=TargetState.DRAINING)
+        return report
+
+
+def _is_report(key: str, stamp: int, value: object) -> bool:
+    return not isinstance(read_report(key.removeprefix(REPORT_PREFIX), value), str)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -0,0 +1,225 @@
+"""Serve HTTP/1.1 connections within bounds, one task for each."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+import trio
+from loguru import logger
+
+from firtrestle.clocks import Millis, move_on_after
+from firtrestle.errors import ErrorKind, Refused
+from firtrestle.problems import problem_response
+
+CHUNK_BYTES = 65_536
+MAX_HEAD_BYTES = 16_384
+STATUS_TOO_MANY_BYTES = 431
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """Hold one request; header names are lower case."""
+
+    method: str
+    path: str
+    parameters: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return a header's value."""
+        return self.headers.get(name, default)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """Hold one response."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: dict[str, str] = field(default_factory=dict)
+    close: bool = False
+
+    @classmethod
+    def from_json(cls, value: Any, status: int = 200, **headers: str) -> HttpResponse:
+        """Build a response with a JSON body."""
+        return cls(status, json.dumps(value, separators=(",", ":")).encode(), headers=headers)
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpBounds:
+    """Bound one connection."""
+
+    max_body_bytes: int = 65_536
+    read_timeout: Millis = Millis(5_000)
+    idle_timeout: Millis = Millis(60_000)
+
+
+class HttpServer:
+    """Run the connections of one listener."""
+
+    def __init__(self, handler: Handler, bounds: HttpBounds, max_connections: int = 1_000) -> None:
+        self.handler = handler
+        self.bounds = bounds
+        self.max_connections = max_connections
+        self.open_connections = 0
+        self.closing = False
+        self._idle_scopes: set[trio.CancelScope] = set()
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until it ends; never raise for what the peer did."""
+        if self.open_connections >= self.max_connections:
+            await trio.aclose_forcefully(stream)
+            return
+        self.open_connections += 1
+        try:
+            await _Connection(self, stream).run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+        finally:
+            self.open_connections -= 1
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    def close_idle(self) -> None:
+        """Close idle connections, and each other one after its next answer."""
+        self.closing = True
+        for scope in list(self._idle_scopes):
+            scope.cancel()
+
+
+class _Connection:
+    def __init__(self, server: HttpServer, stream: trio.abc.Stream) -> None:
+        self._server = server
+        self._bounds = server.bounds
+        self._stream = stream
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+    async def run(self) -> None:
+        while await self._serve_one():
+            self._http.start_next_cycle()
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; return whether the connection can take another."""
+        if not await self._wait_for_first_byte():
+            return False
+        try:
+            with move_on_after(self._bounds.read_timeout) as scope:
+                request = await self._read_request()
+            if scope.cancelled_caught:
+                request = Refused(ErrorKind.TOO_SLOW)
+        except h11.RemoteProtocolError as error:
+            return await self._refuse_malformed(error)
+        if request is None:
+            return False
+        if isinstance(request, Refused):
+            await self._send(problem_response(request, ""), last=True)
+            return False
+        response = await self._handle(request)
+        if response is None:
+            return False
+        last = response.close or self._server.closing
+        await self._send(response, last)
+        return not last and self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    async def _wait_for_first_byte(self) -> bool:
+        if self._http.trailing_data[0]:
+            return True
+        if self._server.closing:
+            return False
+        with move_on_after(self._bounds.idle_timeout) as scope:
+            self._server._idle_scopes.add(scope)
+            try:
+                data = await self._stream.receive_some(CHUNK_BYTES)
+            finally:
+                self._server._idle_scopes.discard(scope)
+        if scope.cancelled_caught or not data:
+            return False
+        self._http.receive_data(data)
+        return True
+
+    async def _read_request(self) -> HttpRequest | Refused | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+                    await self._stream.send_all(self._http.send(go_ahead))
+                self._http.receive_data(await self._stream.receive_some(CHUNK_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._bounds.max_body_bytes:
+                    limit = self._bounds.max_body_bytes
+                    return Refused(ErrorKind.TOO_LARGE, detail=f"the limit is {limit} bytes")
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _request(head, bytes(body))
+            else:
+                return None
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse | None:
+        """Run the handler; return None when the caller left first."""
+        response: HttpResponse | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_for_leaving, nursery.cancel_scope)
+            try:
+                response = await self._server.handler(request)
+            except Exception:
+                logger.exception("the handler of {} {} failed", request.method, request.path)
+                response = problem_response(Refused(ErrorKind.INTERNAL), "")
+            nursery.cancel_scope.cancel()
+        return response
+
+    async def _watch_for_leaving(self, scope: trio.CancelScope) -> None:
+        try:
+            data = await self._stream.receive_some(CHUNK_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        if data:
+            self._http.receive_data(data)
+        else:
+            scope.cancel()
+
+    async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> bool:
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            refused = Refused(ErrorKind.BAD_REQUEST, detail=str(error))
+            response = problem_response(refused, "")
+            if error.error_status_hint == STATUS_TOO_MANY_BYTES:
+                response = problem_response(refused, "", status=STATUS_TOO_MANY_BYTES)
+            await self._send(response, last=True)
+        return False
+
+    async def _send(self, response: HttpResponse, last: bool) -> None:
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+            *response.headers.items(),
+        ]
+        if last:
+            headers.append(("Connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._http.send(head) + self._http.send(h11.Data(data=response.body))
+        data += self._http.send(h11.EndOfMessage())
+        with move_on_after(self._bounds.read_timeout) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the caller does not read its answer")
+
+
+def _request(head: h11.Request, body: bytes) -> HttpRequest:
+    target = urlsplit(head.target.decode("ascii", "replace"))
+    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+    parameters = dict(parse_qsl(target.query))
+    return HttpRequest(head.method.decode(), target.path, parameters, headers, body)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/joins.py
@@ -0,0 +1,71 @@
+"""Announce this daemon to all others before it votes on keys."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+from loguru import logger
+
+from firtrestle.clocks import Millis, sleep
+from firtrestle.members import Member
+from firtrestle.messages import Done, Join
+from firtrestle.peers import PeerAddress, PeerClients
+from firtrestle.platforms import DocumentWatcher
+from firtrestle.settings import PlatformSettings
+from firtrestle.vm_lists import Vm, VmList
+from firtrestle.voters import Voters
+
+JOIN_TIMEOUT = Millis(500)
+RETRY_PAUSE = Millis(250)
+
+
+class Joiner:
+    """Meet every daemon that the platform lists, then establish this one as a voter."""
+
+    def __init__(
+        self,
+        me: Member,
+        voters: Voters,
+        watcher: DocumentWatcher,
+        clients: PeerClients,
+        settings: PlatformSettings,
+        rng: random.Random,
+    ) -> None:
+        self._me = me
+        self._voters = voters
+        self._watcher = watcher
+        self._clients = clients
+        self._settings = settings
+        self._rng = rng
+        self._listed_by_id: dict[str, Vm] = {}
+
+    def apply_list(self, vms: VmList) -> None:
+        """Take note of the daemons to meet."""
+        self._listed_by_id = {vm.id: vm for vm in vms.daemons().values() if vm.id != self._me.id}
+
+    async def run(self) -> None:
+        """Wait until every older daemon is listed, meet all, and establish."""
+        await sleep(Millis(self._settings.list_lag_ms))
+        while not await self._watcher.read_now():
+            await sleep(Millis(self._settings.retry_ms * self._rng.uniform(0.5, 1.5)))
+        met: set[str] = set()
+        while missing := set(self._listed_by_id) - met:
+            async with trio.open_nursery() as nursery:
+                for daemon_id in missing:
+                    nursery.start_soon(self._meet, daemon_id, met)
+            if set(self._listed_by_id) - met:
+                await sleep(RETRY_PAUSE)
+        self._voters.establish()
+        logger.info("established as a holder of keys with {} others", len(met))
+
+    async def _meet(self, daemon_id: str, met: set[str]) -> None:
+        vm = self._listed_by_id.get(daemon_id)
+        if vm is None:
+            return
+        me = self._me
+        join = Join(me.id, me.incarnation, me.data_centre, me.host, me.port, me.peer_port)
+        client = self._clients.get(PeerAddress(vm.host, vm.peer_port))
+        answer = await client.call(join, JOIN_TIMEOUT)
+        if isinstance(answer, Done) and answer.ok:
+            met.add(daemon_id)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/lanes.py
@@ -0,0 +1,347 @@
+"""Carry sub-requests to one target within its slots and connections."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.http_clients import HttpConnection, HttpFailure, HttpReply
+from firtrestle.messages import SubReply, SubRequest
+from firtrestle.outcomes import SubOutcome
+from firtrestle.settings import TargetSettings
+from firtrestle.target_reports import TargetReport
+from firtrestle.vm_lists import Vm
+
+SERVICE_SAMPLES = 32
+CONNECT_TIMEOUT = Millis(1_000)
+DEADLINE_HEADER = "Request-Timeout-Ms"
+
+OUTCOME_BY_STATUS = {
+    409: SubOutcome.SNAPSHOT_GONE,
+    429: SubOutcome.SHED,
+    499: SubOutcome.CANCELLED,
+    504: SubOutcome.DEADLINE,
+}
+
+
+@dataclass(slots=True)
+class _Call:
+    """Hold one sub-request from its arrival to its reply."""
+
+    sub: SubRequest
+    give_up_at: Millis
+    done: trio.Event = field(default_factory=trio.Event)
+    cancelled: trio.Event = field(default_factory=trio.Event)
+    reply: SubReply | None = None
+    started: bool = False
+
+    def finish(self, reply: SubReply) -> None:
+        if self.reply is None:
+            self.reply = reply
+            self.done.set()
+
+
+class Lane:
+    """Queue, send and cancel the sub-requests of one held target."""
+
+    def __init__(
+        self, vm: Vm, settings: TargetSettings, clock: Clock, nursery: trio.Nursery
+    ) -> None:
+        self.vm = vm
+        self.report: TargetReport | None = None
+        self.in_flight_by_searcher: dict[str, int] = {}
+        self.open_connections = 0
+        self.deaths = 0
+        self._settings = settings
+        self._clock = clock
+        self._nursery = nursery
+        self._idle: list[HttpConnection] = []
+        self._queue: list[tuple[int, int, _Call]] = []
+        self._order = itertools.count()
+        self._service_times: deque[Millis] = deque(maxlen=SERVICE_SAMPLES)
+        self._closed = False
+
+    @property
+    def connection_share(self) -> int:
+        """Return how many connections this holder may open."""
+        if self.report is None:
+            return 1
+        return max(1, int(self.report.connection_limit * self._settings.connection_share))
+
+    @property
+    def queue_length(self) -> int:
+        """Return the sub-requests that wait or run."""
+        return len(self._queue) + sum(self.in_flight_by_searcher.values())
+
+    async def run(self, sub: SubRequest) -> SubReply:
+        """Run a sub-request; a cancelled caller cancels it at the target."""
+        call = _Call(sub, Millis(self._clock.now() + sub.budget_ms))
+        refusal = self._refusal(sub)
+        if refusal is not None:
+            return refusal
+        heapq.heappush(self._queue, (0 if sub.urgent else 1, next(self._order), call))
+        self._dispatch()
+        try:
+            with move_on_after(Millis(sub.budget_ms)):
+                await call.done.wait()
+        finally:
+            if call.reply is None:
+                call.cancelled.set()
+                call.finish(_empty(sub, SubOutcome.DEADLINE, sent=call.started))
+        call.reply.queue = self.queue_length
+        return call.reply
+
+    def close(self) -> None:
+        """Refuse what waits and close what is idle; what runs goes on."""
+        self._closed = True
+        for _, _, call in self._queue:
+            call.finish(_empty(call.sub, SubOutcome.NOT_HOLDER))
+        self._queue.clear()
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            self._nursery.start_soon(self._close_connection, connection)
+
+    async def probe(self) -> HttpReply | HttpFailure:
+        """Ask the target for its status."""
+        with move_on_after(Millis(self._settings.probe_timeout_ms)):
+            connection = await self._connection(spare=True)
+            if isinstance(connection, HttpFailure):
+                return connection
+            reply: HttpReply | HttpFailure = HttpFailure(True, "the probe was cut off")
+            try:
+                reply = await connection.request("GET", "/status")
+            finally:
+                self._give_back(connection)
+            return reply
+        return HttpFailure(True, "the probe took too long")
+
+    async def warm(self) -> None:
+        """Open connections up to the idle minimum, before anyone waits for one."""
+        wanted = min(self._settings.idle_connections, self.connection_share)
+        while not self._closed and self.open_connections < wanted:
+            connection = await self._open()
+            if isinstance(connection, HttpFailure):
+                return
+            self._give_back(connection)
+
+    def _refusal(self, sub: SubRequest) -> SubReply | None:
+        if self._closed or self.report is None:
+            return _empty(sub, SubOutcome.NOT_HOLDER)
+        searcher = self.report.by_searcher.get(sub.searcher)
+        if searcher is None:
+            return _empty(sub, SubOutcome.SNAPSHOT_GONE)
+        if self._expected_wait(sub, searcher.slots) > sub.budget_ms:
+            return _empty(sub, SubOutcome.SHED, reason="the queue is longer than the deadline")
+        return None
+
+    def _expected_wait(self, sub: SubRequest, slots: int) -> Millis:
+        ahead = sum(
+            1
+            for rank, _, call in self._queue
+            if call.sub.searcher == sub.searcher and (rank == 0 or not sub.urgent)
+        )
+        if not self._service_times or not ahead:
+            return Millis(0)
+        mean = sum(self._service_times) / len(self._service_times)
+        return Millis(mean * (ahead + 1) / slots)
+
+    def _dispatch(self) -> None:
+        """Start each waiting call whose searcher has a free slot."""
+        held_back: list[tuple[int, int, _Call]] = []
+        while self._queue and self._may_send():
+            entry = heapq.heappop(self._queue)
+            call = entry[2]
+            if call.cancelled.is_set() or call.reply is not None:
+                continue
+            if self._slot_is_free(call.sub.searcher):
+                self._start(call)
+            else:
+                held_back.append(entry)
+        for entry in held_back:
+            heapq.heappush(self._queue, entry)
+
+    def _may_send(self) -> bool:
+        return sum(self.in_flight_by_searcher.values()) < self.connection_share
+
+    def _slot_is_free(self, name: str) -> bool:
+        searcher = self.report.by_searcher.get(name) if self.report else None
+        slots = searcher.slots if searcher is not None else 1
+        return self.in_flight_by_searcher.get(name, 0) < slots
+
+    def _start(self, call: _Call) -> None:
+        name = call.sub.searcher
+        self.in_flight_by_searcher[name] = self.in_flight_by_searcher.get(name, 0) + 1
+        self._nursery.start_soon(self._serve, call)
+
+    async def _serve(self, call: _Call) -> None:
+        started_at = self._clock.now()
+        try:
+            if started_at >= call.give_up_at:
+                call.finish(_empty(call.sub, SubOutcome.DEADLINE))
+                return
+            connection = await self._connection()
+            if isinstance(connection, HttpFailure):
+                call.finish(_empty(call.sub, SubOutcome.UNREACHABLE, reason=connection.reason))
+                return
+            await self._exchange(call, connection)
+            self._service_times.append(Millis(self._clock.now() - started_at))
+        finally:
+            self.in_flight_by_searcher[call.sub.searcher] -= 1
+            self._dispatch()
+
+    async def _exchange(self, call: _Call, connection: HttpConnection) -> None:
+        """Send the call and hold its slot until the target replied or confirmed a cancel."""
+        budget = Millis(call.give_up_at - self._clock.now())
+        if call.cancelled.is_set() or budget <= 0:
+            call.finish(_empty(call.sub, SubOutcome.DEADLINE))
+            self._give_back(connection)
+            return
+        call.started = True
+        try:
+            with move_on_after(Millis(budget + self._settings.cancel_grace_ms)):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._cancel_when_asked, call)
+                    reply = await self._send(call.sub, connection, budget)
+                    if call.reply is None and _is_death(reply):
+                        self.deaths += 1
+                    call.finish(_read_reply(call.sub, reply))
+                    nursery.cancel_scope.cancel()
+            call.finish(_empty(call.sub, SubOutcome.DEADLINE, sent=True))
+        finally:
+            if call.reply is not None and call.reply.outcome == SubOutcome.BAD_REPLY:
+                connection.usable = False
+            self._give_back(connection)
+
+    async def _send(
+        self, sub: SubRequest, connection: HttpConnection, budget: Millis
+    ) -> HttpReply | HttpFailure:
+        body = {
+            "request_id": sub.request_id,
+            "attempt": sub.attempt,
+            "searcher": sub.searcher,
+            "collection": sub.collection,
+            "version": sub.version,
+            "shard": sub.shard,
+            "query": sub.query,
+            "key": sub.key,
+        }
+        headers = {DEADLINE_HEADER: str(round(budget))}
+        return await connection.request("POST", f"/{sub.kind}", json.dumps(body).encode(), headers)
+
+    async def _cancel_when_asked(self, call: _Call) -> None:
+        await call.cancelled.wait()
+        if call.sub.key:
+            return
+        connection = await self._connection(spare=True)
+        if isinstance(connection, HttpFailure):
+            return
+        body = {"request_id": call.sub.request_id, "attempt": call.sub.attempt}
+        try:
+            await connection.request("POST", "/cancel", json.dumps(body).encode())
+        finally:
+            self._give_back(connection)
+
+    async def _connection(self, spare: bool = False) -> HttpConnection | HttpFailure:
+        """Take an idle connection or open one; a spare one may go one over the share in use."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+            self._nursery.start_soon(self._close_connection, connection)
+        limit = self.report.connection_limit if self.report else 2
+        if spare and self.open_connections >= min(limit, self.connection_share + 1):
+            return HttpFailure(False, "no connection is free")
+        return await self._open()
+
+    async def _open(self) -> HttpConnection | HttpFailure:
+        self.open_connections += 1
+        opened: HttpConnection | HttpFailure = HttpFailure(False, "cut off")
+        try:
+            opened = await HttpConnection.open(self.vm.host, self.vm.port, CONNECT_TIMEOUT)
+        finally:
+            if isinstance(opened, HttpFailure):
+                self.open_connections -= 1
+        return opened
+
+    def _give_back(self, connection: HttpConnection) -> None:
+        if connection.usable and not self._closed:
+            self._idle.append(connection)
+        else:
+            self._nursery.start_soon(self._close_connection, connection)
+
+    async def _close_connection(self, connection: HttpConnection) -> None:
+        try:
+            await connection.close()
+        finally:
+            self.open_connections -= 1
+
+
+def _empty(sub: SubRequest, outcome: SubOutcome, reason: str = "", sent: bool = False) -> SubReply:
+    return SubReply(
+        outcome,
+        sub.request_id,
+        sub.attempt,
+        sub.collection,
+        sub.version,
+        sub.shard,
+        sent=sent,
+        reason=reason,
+    )
+
+
+def _is_death(reply: HttpReply | HttpFailure) -> bool:
+    return isinstance(reply, HttpFailure) and reply.sent
+
+
+def _read_reply(sub: SubRequest, reply: HttpReply | HttpFailure) -> SubReply:
+    if isinstance(reply, HttpFailure):
+        outcome = SubOutcome.DIED if reply.sent else SubOutcome.UNREACHABLE
+        return _empty(sub, outcome, reply.reason, sent=reply.sent)
+    value = reply.json()
+    if not isinstance(value, dict):
+        return _empty(sub, SubOutcome.BAD_REPLY, "the reply is not a JSON object", sent=True)
+    if reply.status != 200:
+        return _read_refusal(sub, reply, value)
+    if not _echoes(sub, value):
+        return _empty(sub, SubOutcome.BAD_REPLY, "the reply answers another request", sent=True)
+    rows, documents = value.get("rows"), value.get("documents")
+    if not isinstance(rows, list) or not isinstance(documents, int) or documents < 0:
+        return _empty(sub, SubOutcome.BAD_REPLY, "the reply lacks rows or documents", sent=True)
+    if any(not isinstance(row, dict) or row.get("version") != sub.version for row in rows):
+        return _empty(sub, SubOutcome.BAD_REPLY, "a row is of another version", sent=True)
+    answer = _empty(sub, SubOutcome.OK, sent=True)
+    answer.rows = rows
+    answer.documents = documents
+    answer.truncated = bool(value.get("truncated"))
+    return answer
+
+
+def _read_refusal(sub: SubRequest, reply: HttpReply, value: dict[str, Any]) -> SubReply:
+    reason = str(value.get("error", reply.status))
+    outcome = OUTCOME_BY_STATUS.get(reply.status, SubOutcome.REFUSED)
+    if reply.status == 503:
+        outcome = SubOutcome.DRAINING if reason == "draining" else SubOutcome.SHED
+    answer = _empty(sub, outcome, reason, sent=True)
+    retry_after = value.get("retry_after_ms")
+    if isinstance(retry_after, int | float):
+        answer.retry_after_ms = float(retry_after)
+    return answer
+
+
+def _echoes(sub: SubRequest, value: dict[str, Any]) -> bool:
+    names = ("request_id", "attempt", "collection", "version", "shard")
+    return all(value.get(name) == getattr(sub, name) for name in names)
+
+
+async def keep_warm(lane: Lane, pause: Millis) -> None:
+    """Keep a lane's idle connections open, for ever."""
+    while True:
+        await lane.warm()
+        await sleep(pause)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/members.py
@@ -0,0 +1,295 @@
+"""Know which daemons live, by pings, suspicion and incarnations."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+import trio
+from loguru import logger
+
+from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.events import EventKind, EventLog
+from firtrestle.messages import Done, Ping, PingFor, Pong
+from firtrestle.peers import PeerAddress, PeerClients, PeerFailure
+from firtrestle.settings import DaemonSettings, PeerSettings
+from firtrestle.spreads import Item, Spreader
+from firtrestle.vm_lists import Vm, VmList
+
+MEMBER_PREFIX = "member/"
+INDIRECT_PINGS = 3
+PINGS_PER_REVIVAL = 4  # each so many pings, one goes to a daemon thought dead
+
+
+class MemberStatus(IntEnum):
+    """Order what is known of one incarnation; a higher one overrides."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+STATUSES = len(MemberStatus)
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Hold what is known of one daemon."""
+
+    id: str
+    incarnation: int
+    status: MemberStatus
+    data_centre: str
+    host: str
+    port: int
+    peer_port: int
+
+    @property
+    def address(self) -> PeerAddress:
+        """Return where the daemon takes peers' calls."""
+        return PeerAddress(self.host, self.peer_port)
+
+    @property
+    def stamp(self) -> int:
+        """Return the order of this knowledge among all of the daemon."""
+        return self.incarnation * STATUSES + self.status
+
+    def to_value(self) -> list[Any]:
+        """Return the spread form."""
+        return [self.data_centre, self.host, self.port, self.peer_port]
+
+    @classmethod
+    def from_item(cls, key: str, item: Item) -> Member:
+        """Read the spread form."""
+        incarnation, status = divmod(item.stamp, STATUSES)
+        member_id = key.removeprefix(MEMBER_PREFIX)
+        return cls(member_id, incarnation, MemberStatus(status), *item.value)
+
+
+class Members:
+    """Keep the view of the fleet and probe it at a fixed cost a daemon."""
+
+    def __init__(
+        self,
+        me: Member,
+        settings: PeerSettings,
+        spreader: Spreader,
+        clients: PeerClients,
+        clock: Clock,
+        events: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.me = me
+        self.by_id: dict[str, Member] = {}
+        self.version = 0
+        self._settings = settings
+        self._spreader = spreader
+        self._items = spreader.items
+        self._clients = clients
+        self._clock = clock
+        self._events = events
+        self._rng = rng
+        self._suspected_at: dict[str, Millis] = {}
+        self._listed_by_id: dict[str, Vm] = {}
+        self._order: list[str] = []
+        self._pings = 0
+        self._items.guard(MEMBER_PREFIX, _is_member_value)
+        self._items.listen(MEMBER_PREFIX, self._on_item)
+        self._announce()
+
+    @classmethod
+    def me_from_config(cls, daemon: DaemonSettings, incarnation: int) -> Member:
+        """Build this daemon's own member."""
+        return Member(
+            daemon.id,
+            incarnation,
+            MemberStatus.ALIVE,
+            daemon.data_centre,
+            daemon.address,
+            daemon.port,
+            daemon.peer_port,
+        )
+
+    def live(self) -> list[Member]:
+        """Return the members that are not known dead or gone, this daemon included."""
+        return [m for m in self.by_id.values() if m.status <= MemberStatus.SUSPECT]
+
+    def live_peers(self) -> list[Member]:
+        """Return the live members but this daemon."""
+        return [m for m in self.live() if m.id != self.me.id]
+
+    def live_ids(self, data_centre: str | None = None) -> list[str]:
+        """Return the ids of live members, of one data centre if any live there."""
+        live = self.live()
+        near = [m.id for m in live if m.data_centre == data_centre]
+        return near or [m.id for m in live]
+
+    def leave(self) -> None:
+        """Tell all that this daemon takes no new work."""
+        self._set_me(MemberStatus.LEFT)
+
+    def apply_list(self, vms: VmList) -> None:
+        """Take note of the daemons that the platform lists, and forget the others."""
+        self._listed_by_id = vms.daemons()
+        for member_id, member in list(self.by_id.items()):
+            gone = member_id not in self._listed_by_id
+            if gone and member.status >= MemberStatus.DEAD and member_id != self.me.id:
+                self._items.remove(MEMBER_PREFIX + member_id)
+                del self.by_id[member_id]
+
+    def listed_peers(self) -> list[Vm]:
+        """Return the other daemons that the platform lists."""
+        return [vm for vm in self._listed_by_id.values() if vm.id != self.me.id]
+
+    async def call(self, member: Member, value: Any) -> Any | PeerFailure:
+        """Call a member with the ordinary timeout."""
+        return await self.call_for(member, value, Millis(self._settings.call_timeout_ms))
+
+    async def call_for(self, member: Member, value: Any, timeout: Millis) -> Any | PeerFailure:
+        """Call a member within a given time."""
+        return await self._clients.get(member.address).call(value, timeout)
+
+    async def run(self) -> None:
+        """Ping one daemon after the other, for ever."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                before = self._clock.now()
+                await sleep(Millis(self._settings.ping_ms * self._rng.uniform(0.8, 1.2)))
+                paused = self._clock.now() - before > 2 * self._settings.ping_ms
+                if paused:
+                    self._suspected_at.clear()
+                    self._restart_suspicions()
+                self._bury_suspects()
+                target = self._next_to_ping()
+                if target is not None:
+                    nursery.start_soon(self._probe, *target)
+
+    async def refresh(self) -> bool:
+        """Exchange state with any one live peer; return whether one answered."""
+        peers = self.live_peers()
+        self._rng.shuffle(peers)
+        for peer in peers:
+            if await self._ping(peer.address):
+                return True
+        return not peers
+
+    async def serve_ping_for(self, request: PingFor) -> Done:
+        """Ping a third daemon for a peer."""
+        member = self.by_id.get(request.daemon_id)
+        if member is None:
+            return Done(False, "unknown daemon")
+        return Done(await self._ping(member.address))
+
+    async def _probe(self, member_id: str, address: PeerAddress) -> None:
+        if await self._ping(address):
+            return
+        member = self.by_id.get(member_id)
+        if member is None or member.status != MemberStatus.ALIVE:
+            return
+        if await self._ping_through_others(member):
+            return
+        self._put(member, MemberStatus.SUSPECT)
+
+    async def _ping(self, address: PeerAddress) -> bool:
+        client = self._clients.get(address)
+        timeout = Millis(self._settings.ping_timeout_ms)
+        pong = await client.call(Ping(self.me.id, list(self._items.digest)), timeout)
+        if not isinstance(pong, Pong):
+            return False
+        repair = self._spreader.repair_for(pong)
+        if repair is not None:
+            answer = await client.call(repair, Millis(self._settings.call_timeout_ms))
+            if not isinstance(answer, PeerFailure):
+                self._items.put_rows(answer.items)
+        return True
+
+    async def _ping_through_others(self, member: Member) -> bool:
+        others = [m for m in self.live_peers() if m.id != member.id]
+        helpers = self._rng.sample(others, min(INDIRECT_PINGS, len(others)))
+        reached: list[bool] = []
+
+        async def ask(helper: Member) -> None:
+            answer = await self.call(helper, PingFor(self.me.id, member.id))
+            if isinstance(answer, Done) and answer.ok:
+                reached.append(True)
+
+        async with trio.open_nursery() as nursery:
+            for helper in helpers:
+                nursery.start_soon(ask, helper)
+        return bool(reached)
+
+    def _next_to_ping(self) -> tuple[str, PeerAddress] | None:
+        self._pings += 1
+        if self._pings % PINGS_PER_REVIVAL == 0:
+            silent = [vm for vm in self.listed_peers() if not self._is_live(vm.id)]
+            if silent:
+                vm = self._rng.choice(silent)
+                return vm.id, PeerAddress(vm.host, vm.peer_port)
+        while self._order:
+            member = self.by_id.get(self._order.pop())
+            if member is not None and member.status <= MemberStatus.SUSPECT:
+                return member.id, member.address
+        self._order = [m.id for m in self.live_peers()]
+        self._rng.shuffle(self._order)
+        if self._order:
+            member = self.by_id[self._order.pop()]
+            return member.id, member.address
+        unknown = [vm for vm in self.listed_peers() if not self._is_live(vm.id)]
+        if not unknown:
+            return None
+        vm = self._rng.choice(unknown)
+        return vm.id, PeerAddress(vm.host, vm.peer_port)
+
+    def _is_live(self, member_id: str) -> bool:
+        member = self.by_id.get(member_id)
+        return member is not None and member.status <= MemberStatus.SUSPECT
+
+    def _bury_suspects(self) -> None:
+        now = self._clock.now()
+        for member_id, since in list(self._suspected_at.items()):
+            if now - since > self._settings.suspect_ms:
+                member = self.by_id.get(member_id)
+                if member is not None and member.status == MemberStatus.SUSPECT:
+                    self._put(member, MemberStatus.DEAD)
+
+    def _restart_suspicions(self) -> None:
+        for member in self.by_id.values():
+            if member.status == MemberStatus.SUSPECT:
+                self._suspected_at[member.id] = self._clock.now()
+
+    def _put(self, member: Member, status: MemberStatus) -> None:
+        stamp = member.incarnation * STATUSES + status
+        self._items.put(MEMBER_PREFIX + member.id, stamp, member.to_value())
+
+    def _announce(self) -> None:
+        self._items.put(MEMBER_PREFIX + self.me.id, self.me.stamp, self.me.to_value())
+
+    def _set_me(self, status: MemberStatus, incarnation: int | None = None) -> None:
+        me = self.me
+        number = incarnation or me.incarnation
+        self.me = Member(me.id, number, status, me.data_centre, me.host, me.port, me.peer_port)
+        self._announce()
+
+    def _on_item(self, key: str, item: Item) -> None:
+        member = Member.from_item(key, item)
+        if member.id == self.me.id and member.stamp > self.me.stamp:
+            self._set_me(self.me.status, member.incarnation + 1)
+            return
+        before = self.by_id.get(member.id)
+        self.by_id[member.id] = member
+        self.version += 1
+        if member.status == MemberStatus.SUSPECT:
+            self._suspected_at[member.id] = self._clock.now()
+        else:
+            self._suspected_at.pop(member.id, None)
+        if before is None or before.status != member.status:
+            name = member.status.name.lower()
+            logger.info("member {} is {}", member.id, name)
+            self._events.add(EventKind.MEMBER_CHANGED, member=member.id, status=name)
+
+
+def _is_member_value(key: str, stamp: int, value: Any) -> bool:
+    return isinstance(value, list) and len(value) == 4 and stamp >= 0
--- /dev/null
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -0,0 +1,215 @@
+"""Define the messages between daemons and their msgpack form."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields
+from typing import Any, TypeVar
+
+import msgpack
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 8_000_000
+
+Kind = TypeVar("Kind")
+message_by_tag: dict[str, type] = {}
+
+
+class BadFrame(ValueError):
+    """Say that bytes from a peer are no message of this protocol."""
+
+
+def message(tag: str):
+    """Register a message class under its tag."""
+
+    def add(cls: type[Kind]) -> type[Kind]:
+        cls.tag = tag
+        message_by_tag[tag] = cls
+        return cls
+
+    return add
+
+
+@message("ping")
+@dataclass(slots=True)
+class Ping:
+    """Ask a peer whether it lives, with a digest of the sender's state."""
+
+    sender: str
+    digest: list[int] = field(default_factory=list)
+
+
+@message("ping-for")
+@dataclass(slots=True)
+class PingFor:
+    """Ask a peer to ping a third daemon."""
+
+    sender: str
+    daemon_id: str
+
+
+@message("pong")
+@dataclass(slots=True)
+class Pong:
+    """Answer a ping with the stamps of the buckets that differ."""
+
+    alive: bool = True
+    stamps: dict[str, int] = field(default_factory=dict)
+    buckets: list[int] = field(default_factory=list)
+
+
+@message("pull")
+@dataclass(slots=True)
+class Pull:
+    """Ask for items by key, and hand over items the peer lacks."""
+
+    keys: list[str] = field(default_factory=list)
+    items: list[list[Any]] = field(default_factory=list)
+
+
+@message("items")
+@dataclass(slots=True)
+class Items:
+    """Carry items of state as [key, stamp, value]."""
+
+    items: list[list[Any]] = field(default_factory=list)
+
+
+@message("join")
+@dataclass(slots=True)
+class Join:
+    """Announce a daemon before it votes on keys."""
+
+    daemon_id: str
+    incarnation: int
+    data_centre: str
+    host: str
+    port: int
+    peer_port: int
+
+
+@message("done")
+@dataclass(slots=True)
+class Done:
+    """Confirm a call without a result."""
+
+    ok: bool = True
+    reason: str = ""
+
+
+@message("claim")
+@dataclass(slots=True)
+class Claim:
+    """Ask for a vote that a key is new and belongs to the owner."""
+
+    key: str
+    owner: str
+    fingerprint: str
+
+
+@message("vote")
+@dataclass(slots=True)
+class Vote:
+    """Answer a claim: granted, abstained, or held by another."""
+
+    granted: bool = False
+    quorum: int = 1
+    owner: str = ""
+    fingerprint: str = ""
+    state: str = ""
+    outcome: dict[str, Any] = field(default_factory=dict)
+    reason: str = ""
+
+
+@message("settle")
+@dataclass(slots=True)
+class Settle:
+    """Tell the holders of a key how it ended."""
+
+    key: str
+    owner: str
+    state: str
+    outcome: dict[str, Any] = field(default_factory=dict)
+
+
+@message("ask-key")
+@dataclass(slots=True)
+class AskKey:
+    """Ask a claim's owner how its key ended."""
+
+    key: str
+    owner: str
+
+
+@message("sub-request")
+@dataclass(slots=True)
+class SubRequest:
+    """Ask a holder to run one part of a query on a searcher."""
+
+    request_id: str
+    attempt: int
+    target_id: str
+    searcher: str
+    collection: str
+    version: int
+    shard: int
+    kind: str
+    query: dict[str, Any]
+    budget_ms: float
+    urgent: bool = False
+    key: str = ""
+    fingerprint: str = ""
+
+
+@message("sub-reply")
+@dataclass(slots=True)
+class SubReply:
+    """Answer a sub-request with rows, or with the reason why there are none."""
+
+    outcome: str
+    request_id: str = ""
+    attempt: int = 0
+    collection: str = ""
+    version: int = 0
+    shard: int = 0
+    rows: list[Any] = field(default_factory=list)
+    documents: int = 0
+    truncated: bool = False
+    sent: bool = False
+    reason: str = ""
+    queue: int = 0
+    retry_after_ms: float = 0.0
+
+
+@message("cancel")
+@dataclass(slots=True)
+class Cancel:
+    """Stop a call that the sender no longer waits for."""
+
+    call_id: int
+
+
+def encode(call_id: int, value: Any) -> bytes:
+    """Pack a message with its call's number."""
+    body = {f.name: getattr(value, f.name) for f in fields(value)}
+    return msgpack.packb({"v": PROTOCOL_VERSION, "c": call_id, "t": value.tag, "b": body})
+
+
+def decode(raw: Any) -> tuple[int, Any]:
+    """Read an unpacked frame, dropping unknown fields; raise BadFrame on a bad one."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("b"), dict):
+        raise BadFrame("a frame must be a map with a body")
+    if raw.get("v") != PROTOCOL_VERSION:
+        raise BadFrame(f"protocol version {raw.get('v')!r} is not {PROTOCOL_VERSION}")
+    cls = message_by_tag.get(raw.get("t"))
+    if cls is None or not isinstance(raw.get("c"), int):
+        raise BadFrame(f"unknown message {raw.get('t')!r}")
+    known = {f.name for f in fields(cls)}
+    try:
+        return raw["c"], cls(**{name: raw["b"][name] for name in raw["b"] if name in known})
+    except TypeError as error:
+        raise BadFrame(f"bad {raw['t']}: {error}") from error
+
+
+def new_unpacker() -> msgpack.Unpacker:
+    """Build an unpacker that bounds its memory."""
+    return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES, strict_map_key=True, raw=False)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -0,0 +1,159 @@
+"""Answer operators: liveness, readiness, metrics, status, events and credits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from firtrestle import metrics
+from firtrestle.clocks import Millis, sleep
+from firtrestle.credits import merged_credits
+from firtrestle.errors import ErrorKind, Refused
+from firtrestle.events import EventLog
+from firtrestle.fronts import Front
+from firtrestle.holders import Holders
+from firtrestle.http_servers import HttpRequest, HttpResponse
+from firtrestle.members import Members, MemberStatus
+from firtrestle.peers import PeerClients, PeerServer
+from firtrestle.platforms import REJECTED_PREFIX, DocumentWatcher
+from firtrestle.problems import problem_response
+from firtrestle.quarantines import Quarantines
+from firtrestle.spreads import SpreadMap
+from firtrestle.voters import Voters
+
+MAX_EVENTS = 5_000  # in one answer
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+EVENT_POLL = Millis(50)
+LONGEST_EVENT_WAIT = Millis(10_000)
+
+
+@dataclass(slots=True)
+class OperatorRoutes:
+    """Show a daemon's state; nothing here changes it."""
+
+    front: Front
+    members: Members
+    holders: Holders
+    items: SpreadMap
+    voters: Voters
+    quarantines: Quarantines
+    events: EventLog
+    watchers: list[DocumentWatcher]
+    clients: PeerClients
+    peer_server: PeerServer
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request under the reserved prefix."""
+        if request.method != "GET":
+            return problem_response(Refused(ErrorKind.METHOD_NOT_ALLOWED, detail="use GET"), "")
+        match request.path:
+            case "/-/live":
+                return HttpResponse.from_json({"live": True})
+            case "/-/ready":
+                return self._ready()
+            case "/-/metrics":
+                return HttpResponse(200, self._metrics(), METRICS_TYPE)
+            case "/-/status":
+                return HttpResponse.from_json(self.status())
+            case "/-/events":
+                return await self._events(request)
+            case "/-/credits":
+                return HttpResponse.from_json({"credits": merged_credits(self.items)})
+        refused = Refused(ErrorKind.NOT_FOUND, detail=f"nothing is served at {request.path}")
+        return problem_response(refused, "")
+
+    def is_ready(self) -> bool:
+        """Say whether callers should be sent here."""
+        state = self.front.state
+        return state.catalogue.revision > 0 and not state.stopping
+
+    def status(self) -> dict[str, Any]:
+        """Return what `firtrestle status` shows."""
+        state = self.front.state
+        me = self.members.me
+        rejected = self.items.by_key.get(REJECTED_PREFIX + "catalogue")
+        newer = rejected is not None and rejected.stamp > state.catalogue.revision
+        return {
+            "daemon": me.id,
+            "incarnation": me.incarnation,
+            "data_centre": me.data_centre,
+            "ready": self.is_ready(),
+            "stopping": state.stopping,
+            "established": self.voters.established_at is not None,
+            "revision": state.catalogue.revision,
+            "rejected": [rejected.stamp, rejected.value] if newer else None,
+            "platform_reads": sum(watcher.reads for watcher in self.watchers),
+            "running": state.running,
+            "members": [
+                {
+                    "id": member.id,
+                    "data_centre": member.data_centre,
+                    "status": member.status.name.lower(),
+                    "address": f"{member.host}:{member.port}",
+                }
+                for member in sorted(self.members.by_id.values(), key=lambda one: one.id)
+            ],
+            "targets": [
+                {
+                    "id": report.target_id,
+                    "collection": report.collection,
+                    "state": str(report.state),
+                    "holder": self.holders.holder_of(report.target_id),
+                    "versions": sorted(report.documents_by_version),
+                    "connection_limit": report.connection_limit,
+                }
+                for report in sorted(self.holders.reports(), key=lambda one: one.target_id)
+            ],
+            "held": {
+                target_id: {
+                    "connections": lane.open_connections,
+                    "connection_share": lane.connection_share,
+                    "queue": lane.queue_length,
+                    "in_flight": lane.in_flight_by_searcher,
+                }
+                for target_id, lane in sorted(self.holders.held_targets().items())
+            },
+            "limits": {
+                entry.name: {
+                    "rate_per_second": entry.rate_per_second,
+                    "concurrency": entry.concurrency,
+                }
+                for entry in state.catalogue.by_name.values()
+            },
+            "quarantine": self.quarantines.held(),
+        }
+
+    def _ready(self) -> HttpResponse:
+        ready = self.is_ready()
+        return HttpResponse.from_json({"ready": ready}, 200 if ready else 503)
+
+    def _metrics(self) -> bytes:
+        metrics.REVISION.set(self.front.state.catalogue.revision)
+        for status in MemberStatus:
+            count = sum(member.status is status for member in self.members.by_id.values())
+            metrics.MEMBERS.labels(status.name.lower()).set(count)
+        clients = self.clients.by_address.values()
+        sent = self.peer_server.bytes_sent + sum(client.bytes_sent for client in clients)
+        received = self.peer_server.bytes_received
+        received += sum(client.bytes_received for client in clients)
+        metrics.PEER_BYTES.labels("sent").set(sent)
+        metrics.PEER_BYTES.labels("received").set(received)
+        metrics.PLATFORM_READS.set(sum(watcher.reads for watcher in self.watchers))
+        return metrics.exposition()
+
+    async def _events(self, request: HttpRequest) -> HttpResponse:
+        try:
+            after = int(request.parameters.get("after", "0"))
+            wait = min(Millis(int(request.parameters.get("wait_ms", "0"))), LONGEST_EVENT_WAIT)
+        except ValueError:
+            detail = "after and wait_ms must be whole numbers"
+            return problem_response(Refused(ErrorKind.BAD_REQUEST, detail=detail), "")
+        waited = Millis(0)
+        while not (found := self.events.after(after)) and waited < wait:
+            await sleep(EVENT_POLL)
+            waited = Millis(waited + EVENT_POLL)
+        request_id = request.parameters.get("request_id")
+        page = found[:MAX_EVENTS]
+        shown = [e.to_dict() for e in page if not request_id or e.request_id == request_id]
+        last = page[-1].seq if page else after
+        return HttpResponse.from_json({"last": last, "events": shown})
--- /dev/null
+++ b/packages/firtrestle/firtrestle/peer_calls.py
@@ -0,0 +1,83 @@
+"""Answer the calls of other daemons, by the type of message."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Any
+
+from firtrestle.claims import Claims, KeyTable
+from firtrestle.holders import Holders
+from firtrestle.members import Members
+from firtrestle.messages import AskKey, Claim, Done, Join, Ping, PingFor, Pull, Settle, SubRequest
+from firtrestle.pauses import PauseGuard
+from firtrestle.spreads import Spreader
+from firtrestle.voters import Voters
+
+
+class PeerCalls:
+    """Route each message to the part that answers it."""
+
+    def __init__(
+        self,
+        spreader: Spreader,
+        members: Members,
+        holders: Holders,
+        voters: Voters,
+        table: KeyTable,
+        claims: Claims,
+        pauses: PauseGuard,
+    ) -> None:
+        self._spreader = spreader
+        self._members = members
+        self._holders = holders
+        self._voters = voters
+        self._table = table
+        self._claims = claims
+        self._pauses = pauses
+        self.running = 0
+
+    async def serve(self, value: Any) -> Any:
+        """Answer one message."""
+        self.running += 1
+        try:
+            return await self._answer(value)
+        finally:
+            self.running -= 1
+
+    @singledispatchmethod
+    async def _answer(self, value: Any) -> Any:
+        return Done(False, f"{type(value).__name__} is no call")
+
+    @_answer.register
+    async def _(self, value: Ping) -> Any:
+        return self._spreader.serve_ping(value)
+
+    @_answer.register
+    async def _(self, value: Pull) -> Any:
+        return self._spreader.serve_pull(value)
+
+    @_answer.register
+    async def _(self, value: PingFor) -> Any:
+        return await self._members.serve_ping_for(value)
+
+    @_answer.register
+    async def _(self, value: Join) -> Any:
+        self._voters.add(value)
+        return Done()
+
+    @_answer.register
+    async def _(self, value: Claim) -> Any:
+        return self._table.vote(value)
+
+    @_answer.register
+    async def _(self, value: Settle) -> Any:
+        return self._table.settle(value)
+
+    @_answer.register
+    async def _(self, value: AskKey) -> Any:
+        return self._claims.tell(value)
+
+    @_answer.register
+    async def _(self, value: SubRequest) -> Any:
+        await self._pauses.settle()
+        return await self._holders.run_here(value)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the policies and outputs that register themselves with the kernel."""
--- /dev/null
+++ b/packages/firtrestle/firtrestle/plugins/credits.py
@@ -0,0 +1,25 @@
+"""Count answered requests by kind for each entry, and spread the counts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from firtrestle import signals
+from firtrestle.credits import CreditLedger
+
+if TYPE_CHECKING:
+    from firtrestle.kernels import Kernel
+
+
+def _count(ledger: CreditLedger):
+    def on_answer(entry_name: str, query: Any, **_: Any) -> None:
+        ledger.count(entry_name, query.entry.owner, str(query.entry.kind))
+
+    return on_answer
+
+
+def register(kernel: Kernel) -> None:
+    """Count each answer once."""
+    on_answer = _count(kernel.ledger)
+    kernel.hooks.append(on_answer)  # signals hold their receivers weakly
+    signals.query_answered.connect(on_answer)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/plugins/metrics.py
@@ -0,0 +1,34 @@
+"""Count queries, refusals and sub-requests for Prometheus."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from firtrestle import signals
+from firtrestle.clocks import MILLIS_PER_SECOND
+from firtrestle.metrics import QUERIES, QUERY_SECONDS, REFUSALS, SUB_REQUESTS
+from firtrestle.queries import Gathered
+
+if TYPE_CHECKING:
+    from firtrestle.kernels import Kernel
+
+
+def _on_answer(entry_name: str, result: Any, latency: float, **_: Any) -> None:
+    whole = not isinstance(result, Gathered) or result.whole
+    QUERIES.labels(entry_name, "whole" if whole else "partial").inc()
+    QUERY_SECONDS.labels(entry_name).observe(latency / MILLIS_PER_SECOND)
+
+
+def _on_refusal(entry_name: str, refused: Any) -> None:
+    REFUSALS.labels(entry_name, str(refused.kind), str(refused.ran)).inc()
+
+
+def _on_sub_request(entry_name: str) -> None:
+    SUB_REQUESTS.labels(entry_name).inc()
+
+
+def register(kernel: Kernel) -> None:
+    """Hook the counters to the signals."""
+    signals.query_answered.connect(_on_answer)
+    signals.query_refused.connect(_on_refusal)
+    signals.sub_request_sent.connect(_on_sub_request)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/quarantines.py
@@ -0,0 +1,98 @@
+"""Hold off requests that crash the targets that run them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any
+
+from loguru import logger
+
+from firtrestle.clocks import Clock, Millis
+from firtrestle.events import EventKind, EventLog
+from firtrestle.settings import QuarantineSettings
+from firtrestle.spreads import SpreadMap
+
+QUARANTINE_PREFIX = "quarantine/"
+MAX_KNOWN_GOOD = 100_000
+MAX_SUSPECTS = 10_000
+
+
+@dataclass(slots=True)
+class _Suspect:
+    targets: set[str] = field(default_factory=set)
+
+
+class Quarantines:
+    """Count the targets that died of each request, and tell all daemons."""
+
+    def __init__(
+        self, settings: QuarantineSettings, items: SpreadMap, clock: Clock, events: EventLog
+    ) -> None:
+        self._settings = settings
+        self._items = items
+        self._clock = clock
+        self._events = events
+        self._suspect_by_fingerprint: dict[str, _Suspect] = {}
+        self._known_good: OrderedDict[str, None] = OrderedDict()
+        items.guard(QUARANTINE_PREFIX, self._is_current)
+
+    def canaries_for(self, fingerprint: str) -> int:
+        """Return how many sub-requests go first, 0 for a request that has run before."""
+        if fingerprint in self._known_good:
+            return 0
+        return self._settings.canaries
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Say whether a target died of the request and none has survived it."""
+        return fingerprint in self._suspect_by_fingerprint
+
+    def clear(self, fingerprint: str) -> None:
+        """Take note that a target survived the request."""
+        self._suspect_by_fingerprint.pop(fingerprint, None)
+        self._known_good[fingerprint] = None
+        self._known_good.move_to_end(fingerprint)
+        if len(self._known_good) > MAX_KNOWN_GOOD:
+            self._known_good.popitem(last=False)
+
+    def note_death(self, fingerprint: str, entry_name: str, target_id: str) -> bool:
+        """Count a death; return whether the request is held off from now on."""
+        suspect = self._suspect_by_fingerprint.setdefault(fingerprint, _Suspect())
+        suspect.targets.add(target_id)
+        if len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
+            del self._suspect_by_fingerprint[next(iter(self._suspect_by_fingerprint))]
+        if len(suspect.targets) < self._settings.deaths:
+            return False
+        self._suspect_by_fingerprint.pop(fingerprint, None)
+        until = round(self._clock.wall() + self._settings.hold_ms)
+        targets = sorted(suspect.targets)
+        self._items.put(QUARANTINE_PREFIX + fingerprint, until, [entry_name, targets])
+        self._events.add(EventKind.QUARANTINED, fingerprint=fingerprint, targets=targets)
+        logger.warning("request {} of {} crashed {}", fingerprint, entry_name, targets)
+        return True
+
+    def time_left(self, fingerprint: str) -> Millis | None:
+        """Return how long a request is still held off, or None."""
+        key = QUARANTINE_PREFIX + fingerprint
+        item = self._items.by_key.get(key)
+        if item is None:
+            return None
+        left = item.stamp - self._clock.wall()
+        if left > 0:
+            return Millis(left)
+        self._items.remove(key)
+        return None
+
+    def held(self) -> dict[str, Any]:
+        """Return the quarantines in force, by fingerprint."""
+        now = self._clock.wall()
+        return {
+            key.removeprefix(QUARANTINE_PREFIX): item.value
+            for key, item in self._items.under(QUARANTINE_PREFIX).items()
+            if item.stamp > now
+        }
+
+    def _is_current(self, key: str, stamp: int, value: Any) -> bool:
+        now = self._clock.wall()
+        in_time = now < stamp <= now + 2 * self._settings.hold_ms
+        return in_time and isinstance(value, list) and len(value) == 2
--- /dev/null
+++ b/packages/firtrestle/firtrestle/queries.py
@@ -0,0 +1,91 @@
+"""Hold one caller's query and its answer."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from firtrestle.catalogues import Entry
+from firtrestle.clocks import Millis
+from firtrestle.hashing import hex64
+from firtrestle.outcomes import SubOutcome
+from firtrestle.snapshots import Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """Hold one query; `give_up_at` is on the daemon's monotonic clock."""
+
+    request_id: str
+    entry: Entry
+    body: dict[str, Any]
+    urgent: bool
+    give_up_at: Millis
+    key: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what tells this query from others, whoever sends it."""
+        canonical = json.dumps([self.entry.collection, self.body], sort_keys=True)
+        return hex64(canonical)
+
+
+@dataclass(frozen=True, slots=True)
+class MissingShard:
+    """Hold one shard that an answer does not cover in full."""
+
+    shard: int
+    documents: int
+    reason: SubOutcome | str
+
+
+@dataclass(slots=True)
+class Gathered:
+    """Hold what one scatter brought back."""
+
+    snapshot: Snapshot
+    rows_by_id: dict[str, dict[str, Any]] = field(default_factory=dict)
+    covered_by_shard: dict[int, int] = field(default_factory=dict)
+    missing_by_shard: dict[int, MissingShard] = field(default_factory=dict)
+    sent: int = 0
+    doubled_rows: int = 0
+
+    @property
+    def covered(self) -> int:
+        """Return the documents covered."""
+        return sum(self.covered_by_shard.values())
+
+    @property
+    def coverage(self) -> float:
+        """Return the share of documents covered, 1.0 for an empty collection."""
+        total = self.snapshot.total_documents
+        return self.covered / total if total else 1.0
+
+    @property
+    def whole(self) -> bool:
+        """Say whether the answer covers all documents."""
+        return not self.missing_by_shard
+
+    def to_document(self, query: Query) -> dict[str, Any]:
+        """Return the JSON answer."""
+        missing = sorted(self.missing_by_shard.values(), key=lambda one: one.shard)
+        return {
+            "request_id": query.request_id,
+            "entry": query.entry.name,
+            "snapshot": {
+                "collection": self.snapshot.collection,
+                "version": self.snapshot.version,
+                "shards": len(self.snapshot.documents_by_shard),
+            },
+            "coverage": {
+                "covered": self.covered,
+                "total": self.snapshot.total_documents,
+                "fraction": round(self.coverage, 6),
+                "missing": [
+                    {"shard": one.shard, "documents": one.documents, "reason": str(one.reason)}
+                    for one in missing
+                ],
+            },
+            "rows": list(self.rows_by_id.values()),
+        }
--- /dev/null
+++ b/packages/firtrestle/firtrestle/signals.py
@@ -0,0 +1,11 @@
+"""Name the signals that plug-ins may hook."""
+
+from blinker import Namespace
+
+_namespace = Namespace()
+
+query_answered = _namespace.signal("query-answered")
+query_refused = _namespace.signal("query-refused")
+sub_request_sent = _namespace.signal("sub-request-sent")
+target_died = _namespace.signal("target-died")
+catalogue_applied = _namespace.signal("catalogue-applied")
--- /dev/null
+++ b/packages/firtrestle/firtrestle/snapshots.py
@@ -0,0 +1,89 @@
+"""Pin one version of an index and the replicas that serve it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from firtrestle.target_reports import TargetReport, TargetState
+
+SERVING = (TargetState.LIVE, TargetState.STARTING)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ReplicaId:
+    """Name one searcher on one target."""
+
+    target_id: str
+    searcher: str
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Hold one version of a collection: its shards, their documents and replicas."""
+
+    collection: str
+    version: int
+    documents_by_shard: tuple[int, ...]
+    replicas_by_shard: dict[int, tuple[ReplicaId, ...]]
+
+    @property
+    def total_documents(self) -> int:
+        """Return the documents over all shards."""
+        return sum(self.documents_by_shard)
+
+    @property
+    def reachable_documents(self) -> int:
+        """Return the documents in shards that have a replica."""
+        held = self.replicas_by_shard
+        return sum(n for shard, n in enumerate(self.documents_by_shard) if held.get(shard))
+
+    @property
+    def whole(self) -> bool:
+        """Say whether each shard has a replica."""
+        shards = range(len(self.documents_by_shard))
+        return all(self.replicas_by_shard.get(shard) for shard in shards)
+
+
+def build_snapshots(collection: str, reports: Iterable[TargetReport]) -> list[Snapshot]:
+    """Return the snapshots that targets in service hold, the newest first."""
+    documents_by_version: dict[int, tuple[int, ...]] = {}
+    replicas: dict[int, dict[int, list[ReplicaId]]] = {}
+    for report in reports:
+        if report.collection != collection:
+            continue
+        documents_by_version.update(report.documents_by_version)
+        if report.state in SERVING:
+            _add_replicas(report, replicas)
+    return [
+        Snapshot(
+            collection,
+            version,
+            documents_by_version[version],
+            {shard: tuple(sorted(ids)) for shard, ids in by_shard.items()},
+        )
+        for version, by_shard in sorted(replicas.items(), reverse=True)
+        if version in documents_by_version
+    ]
+
+
+def pin(snapshots: list[Snapshot], newer_than: int = 0) -> Snapshot | None:
+    """Return the newest whole snapshot, else the one that reaches most, the newest on a tie."""
+    candidates = [snapshot for snapshot in snapshots if snapshot.version > newer_than]
+    for snapshot in candidates:
+        if snapshot.whole:
+            return snapshot
+    return max(candidates, key=_reach, default=None)
+
+
+def _reach(snapshot: Snapshot) -> tuple[float, int]:
+    total = snapshot.total_documents
+    return (snapshot.reachable_documents / total if total else 0.0, snapshot.version)
+
+
+def _add_replicas(report: TargetReport, replicas: dict[int, dict[int, list[ReplicaId]]]) -> None:
+    for name, searcher in report.by_searcher.items():
+        for version, shards in searcher.shards_by_version.items():
+            for shard in shards:
+                by_shard = replicas.setdefault(version, {})
+                by_shard.setdefault(shard, []).append(ReplicaId(report.target_id, name))
--- /dev/null
+++ b/packages/firtrestle/firtrestle/submits.py
@@ -0,0 +1,141 @@
+"""Run requests that may not be repeated, at most once."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from firtrestle.claims import Claimed, Claims, HeldElsewhere, InDoubt, KeyState
+from firtrestle.clocks import Clock, Millis
+from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.events import EventKind
+from firtrestle.gathers import GatherTools
+from firtrestle.keys import issue_time
+from firtrestle.messages import SubReply, SubRequest
+from firtrestle.outcomes import SubOutcome
+from firtrestle.queries import Query
+from firtrestle.rendezvous import owner
+from firtrestle.settings import ClaimSettings
+from firtrestle.snapshots import ReplicaId, Snapshot
+
+RELEASE_KIND = {
+    SubOutcome.SHED: ErrorKind.OVERLOADED,
+    SubOutcome.DEADLINE: ErrorKind.DEADLINE_PASSED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Receipt:
+    """Hold the answer to a request that ran once."""
+
+    document: dict[str, Any]
+    replayed: bool = False
+
+
+def check_key(key: str, settings: ClaimSettings, clock: Clock) -> Refused | None:
+    """Refuse a key that is missing, malformed, from the future or too old."""
+    issued_at = issue_time(key)
+    if issued_at is None:
+        return Refused(ErrorKind.KEY_MISSING)
+    age = clock.wall() - issued_at
+    if age < -settings.clock_skew_ms:
+        return Refused(ErrorKind.KEY_MISSING, detail="the key is from the future")
+    if age > settings.window_ms:
+        return Refused(ErrorKind.KEY_EXPIRED, Ran.UNKNOWN, "it may have run when it was new")
+    return None
+
+
+class Submits:
+    """Claim a request's key, send it to one target, and keep what came of it."""
+
+    def __init__(self, tools: GatherTools, claims: Claims) -> None:
+        self._tools = tools
+        self._claims = claims
+
+    async def run(self, query: Query, snapshot: Snapshot) -> Receipt | Refused:
+        """Run a request that has a checked key; a caller that leaves does not stop it."""
+        with trio.CancelScope(shield=True):
+            claimed = await self._claims.claim(query.key, query.fingerprint)
+            events = self._tools.events
+            if isinstance(claimed, InDoubt):
+                events.add(EventKind.KEY_DENIED, query.request_id, reason=claimed.reason)
+                return Refused(ErrorKind.KEY_IN_DOUBT, Ran.FALSE, claimed.reason)
+            if isinstance(claimed, HeldElsewhere):
+                events.add(EventKind.KEY_DENIED, query.request_id, reason=str(claimed.state))
+                return _answer_held(query, claimed)
+            events.add(EventKind.KEY_CLAIMED, query.request_id, key=query.key)
+            return await self._run_claimed(query, snapshot, claimed)
+
+    async def _run_claimed(
+        self, query: Query, snapshot: Snapshot, claimed: Claimed
+    ) -> Receipt | Refused:
+        reply = await self._send(query, snapshot)
+        if reply.outcome == SubOutcome.OK:
+            document = {"request_id": query.request_id, "ran": True, "rows": reply.rows}
+            await self._claims.settle(claimed, KeyState.DONE, document)
+            return Receipt(document)
+        outcome = SubOutcome(reply.outcome)
+        if reply.sent:
+            await self._claims.settle(claimed, KeyState.UNKNOWN, {})
+            return Refused(ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN, f"{outcome}: {reply.reason}")
+        await self._claims.settle(claimed, KeyState.RELEASED, {})
+        return Refused(RELEASE_KIND.get(outcome, ErrorKind.NO_TARGET), Ran.FALSE, reply.reason)
+
+    async def _send(self, query: Query, snapshot: Snapshot) -> SubReply:
+        """Try the shard's replicas in turn for as long as no byte has left for one."""
+        shards = [str(shard) for shard in range(len(snapshot.documents_by_shard))]
+        shard = int(owner(query.key, shards) or 0)
+        reply = SubReply(SubOutcome.NO_REPLICA, reason="no target serves the shard")
+        untried = set(snapshot.replicas_by_shard.get(shard, ()))
+        for attempt in itertools.count(1):
+            replica = self._tools.chooser.choose(
+                [self._tools.replicas.get(one) for one in sorted(untried)]
+            )
+            budget = Millis(query.give_up_at - self._tools.clock.now())
+            if replica is None or budget <= 0:
+                return reply
+            untried.discard(replica.id)
+            started_at = self._tools.clock.now()
+            replica.in_flight += 1
+            sub = _sub_request(query, snapshot, shard, replica.id, attempt, budget)
+            reply = await self._tools.holders.send(sub)
+            replica.in_flight -= 1
+            now = self._tools.clock.now()
+            outcome = SubOutcome(reply.outcome)
+            replica.note(outcome, Millis(now - started_at), reply.queue, now)
+            if reply.sent or outcome is SubOutcome.OK:
+                return reply
+        raise AssertionError("unreachable")
+
+
+def _sub_request(
+    query: Query, snapshot: Snapshot, shard: int, replica: ReplicaId, attempt: int, budget: Millis
+) -> SubRequest:
+    return SubRequest(
+        request_id=query.request_id,
+        attempt=attempt,
+        target_id=replica.target_id,
+        searcher=replica.searcher,
+        collection=snapshot.collection,
+        version=snapshot.version,
+        shard=shard,
+        kind="submit",
+        query=query.body,
+        budget_ms=budget,
+        urgent=query.urgent,
+        key=query.key,
+        fingerprint=query.fingerprint,
+    )
+
+
+def _answer_held(query: Query, held: HeldElsewhere) -> Receipt | Refused:
+    if held.fingerprint != query.fingerprint:
+        return Refused(ErrorKind.KEY_REUSED, Ran.FALSE)
+    if held.state is KeyState.DONE:
+        return Receipt(held.outcome, replayed=True)
+    if held.state is KeyState.CLAIMED:
+        return Refused(ErrorKind.KEY_IN_PROGRESS, Ran.UNKNOWN)
+    return Refused(ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/target_reports.py
@@ -0,0 +1,98 @@
+"""Describe what a target says that it serves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+REPORT_PREFIX = "target/"
+
+
+class TargetState(StrEnum):
+    """Say whether a target takes new work."""
+
+    LIVE = "live"
+    STARTING = "starting"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+class _SearcherModel(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    slots: int = Field(ge=1)
+    shards: dict[int, list[int]] = {}
+
+
+class _VersionModel(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    documents: list[int]
+
+
+class _StatusModel(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    state: TargetState
+    collection: str
+    connection_limit: int = Field(ge=1)
+    searchers: dict[str, _SearcherModel]
+    versions: dict[int, _VersionModel]
+
+
+@dataclass(frozen=True, slots=True)
+class SearcherReport:
+    """Hold one searcher's slots and the shards it holds by version."""
+
+    slots: int
+    shards_by_version: dict[int, tuple[int, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """Hold what one target serves; `documents_by_version` lists documents by shard."""
+
+    target_id: str
+    state: TargetState
+    collection: str
+    connection_limit: int
+    by_searcher: dict[str, SearcherReport] = field(default_factory=dict)
+    documents_by_version: dict[int, tuple[int, ...]] = field(default_factory=dict)
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the spread form."""
+        return {
+            "state": str(self.state),
+            "collection": self.collection,
+            "connection_limit": self.connection_limit,
+            "searchers": {
+                name: {
+                    "slots": searcher.slots,
+                    "shards": {str(v): list(s) for v, s in searcher.shards_by_version.items()},
+                }
+                for name, searcher in self.by_searcher.items()
+            },
+            "versions": {
+                str(version): {"documents": list(documents)}
+                for version, documents in self.documents_by_version.items()
+            },
+        }
+
+
+def read_report(target_id: str, raw: Any) -> TargetReport | str:
+    """Return the report of a target's status or spread value, or what is wrong with it."""
+    try:
+        status = _StatusModel.model_validate(raw)
+    except ValidationError as error:
+        return str(error)
+    by_searcher = {
+        name: SearcherReport(one.slots, {v: tuple(s) for v, s in one.shards.items()})
+        for name, one in status.searchers.items()
+    }
+    documents = {number: tuple(one.documents) for number, one in status.versions.items()}
+    return TargetReport(
+        target_id, status.state, status.collection, status.connection_limit, by_searcher, documents
+    )
--- /dev/null
+++ b/packages/firtrestle/firtrestle/vm_lists.py
@@ -0,0 +1,80 @@
+"""Read the platform's lagging list of VMs."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+
+class VmKind(StrEnum):
+    """Say what runs on a VM."""
+
+    DAEMON = "daemon"
+    TARGET = "target"
+
+
+class VmState(StrEnum):
+    """Say whether a VM stays."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class _VmModel(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    id: str
+    kind: VmKind
+    data_centre: str
+    host: str
+    port: int
+    peer_port: int = 0
+    state: VmState = VmState.LIVE
+    collection: str = ""
+
+
+class _VmListModel(BaseModel):
+    vms: list[_VmModel]
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """Hold one listed VM."""
+
+    id: str
+    kind: VmKind
+    data_centre: str
+    host: str
+    port: int
+    peer_port: int
+    state: VmState
+    collection: str
+
+
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """Hold one version of the list."""
+
+    version: int = 0
+    by_id: dict[str, Vm] = field(default_factory=dict)
+
+    def daemons(self) -> dict[str, Vm]:
+        """Return the listed daemons by id."""
+        return {vm.id: vm for vm in self.by_id.values() if vm.kind is VmKind.DAEMON}
+
+    def targets(self) -> dict[str, Vm]:
+        """Return the listed targets by id."""
+        return {vm.id: vm for vm in self.by_id.values() if vm.kind is VmKind.TARGET}
+
+
+def parse_vm_list(text: str, version: int) -> VmList | str:
+    """Return the list, or what is wrong with the text."""
+    try:
+        checked = _VmListModel.model_validate(json.loads(text))
+    except (ValueError, ValidationError) as error:
+        return str(error)
+    by_id = {model.id: Vm(**model.model_dump()) for model in checked.vms}
+    return VmList(version, by_id)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/voters.py
@@ -0,0 +1,117 @@
+"""Know which daemons may hold a key, and since when without a gap."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from firtrestle.clocks import Clock, Millis
+from firtrestle.messages import Join
+from firtrestle.peers import PeerAddress
+from firtrestle.rendezvous import rank
+from firtrestle.settings import ClaimSettings
+from firtrestle.vm_lists import VmList
+
+
+@dataclass(slots=True)
+class _Voter:
+    address: PeerAddress
+    joined_at: Millis
+    listed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Say whether this daemon may vote on a key, and how many votes the key needs."""
+
+    may_vote: bool
+    quorum: int
+    reason: str = ""
+
+
+class Voters:
+    """Hold every daemon that may be alive, and the history of that set.
+
+    A daemon enters when it is listed or announces itself, and leaves only when the platform,
+    which lists it late but never drops it while it runs, has dropped it.
+    """
+
+    def __init__(self, my_id: str, address: PeerAddress, settings: ClaimSettings, clock: Clock):
+        self.my_id = my_id
+        self.established_at: Millis | None = None
+        self._settings = settings
+        self._clock = clock
+        self._by_id = {my_id: _Voter(address, clock.wall(), listed=False)}
+        self._history: deque[tuple[Millis, frozenset[str]]] = deque()
+        self._note_change()
+
+    def address_of(self, daemon_id: str) -> PeerAddress | None:
+        """Return where a voter takes calls."""
+        voter = self._by_id.get(daemon_id)
+        return voter.address if voter is not None else None
+
+    def apply_list(self, vms: VmList) -> None:
+        """Add listed daemons and drop those that the platform has dropped."""
+        daemons = vms.daemons()
+        now = self._clock.wall()
+        for vm in daemons.values():
+            voter = self._by_id.get(vm.id)
+            address = PeerAddress(vm.host, vm.peer_port)
+            if voter is None:
+                self._by_id[vm.id] = _Voter(address, now, listed=True)
+            else:
+                voter.listed = True
+                voter.address = address
+        for daemon_id, voter in list(self._by_id.items()):
+            forgotten = voter.listed or now - voter.joined_at > self._settings.window_ms
+            if daemon_id not in daemons and daemon_id != self.my_id and forgotten:
+                del self._by_id[daemon_id]
+        self._note_change()
+
+    def add(self, join: Join) -> None:
+        """Add a daemon that announced itself."""
+        address = PeerAddress(join.host, join.peer_port)
+        voter = self._by_id.get(join.daemon_id)
+        if voter is None:
+            self._by_id[join.daemon_id] = _Voter(address, self._clock.wall(), listed=False)
+            self._note_change()
+        else:
+            voter.address = address
+
+    def establish(self) -> None:
+        """Start to vote: every daemon that may be alive knows this one."""
+        self.established_at = self._clock.wall()
+
+    def group(self, key: str) -> list[str]:
+        """Return the daemons that hold a key."""
+        return rank(key, self._by_id)[: self._settings.group_size]
+
+    def standing(self, key: str, issued_at: Millis) -> Standing:
+        """Say whether this daemon has held the key since before it was made."""
+        since = Millis(issued_at - self._settings.clock_skew_ms)
+        groups = [rank(key, ids)[: self._settings.group_size] for ids in self._sets_since(since)]
+        quorum = max(len(group) for group in groups) // 2 + 1
+        if self.established_at is None or self.established_at > since:
+            return Standing(False, quorum, "the daemon is younger than the key")
+        if not all(self.my_id in group for group in groups):
+            return Standing(False, quorum, "the daemon has not held the key throughout")
+        return Standing(True, quorum)
+
+    def _sets_since(self, since: Millis) -> list[frozenset[str]]:
+        """Return each set in force at a moment or later."""
+        sets: list[frozenset[str]] = []
+        for changed_at, ids in reversed(self._history):
+            sets.append(ids)
+            if changed_at <= since:
+                break
+        return sets
+
+    def _note_change(self) -> None:
+        ids = frozenset(self._by_id)
+        if self._history and self._history[-1][1] == ids:
+            return
+        now = self._clock.wall()
+        self._history.append((now, ids))
+        keep = self._settings.window_ms + 2 * self._settings.clock_skew_ms
+        while len(self._history) > 1 and now - self._history[1][0] > keep:
+            self._history.popleft()
--- /dev/null
+++ b/packages/firtrestle/firtrestle/yaml_documents.py
@@ -0,0 +1,115 @@
+"""Check a YAML document against a model and say where each fault stands."""
+
+from __future__ import annotations
+
+import difflib
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import yaml
+from pydantic import BaseModel, ValidationError
+
+Model = TypeVar("Model", bound=BaseModel)
+Path = tuple[str | int, ...]
+
+MAX_DOCUMENT_BYTES = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Hold one fault of a document: its line (from 1), path, message and mend."""
+
+    line: int
+    path: str
+    message: str
+    mend: str = ""
+
+    def __str__(self) -> str:
+        mend = f" ({self.mend})" if self.mend else ""
+        return f"line {self.line}: {self.path or 'document'}: {self.message}{mend}"
+
+
+def check_document(text: str, model: type[Model]) -> Model | list[Fault]:
+    """Return the checked model, or every fault found."""
+    if len(text.encode()) > MAX_DOCUMENT_BYTES:
+        return [Fault(1, "", f"is larger than {MAX_DOCUMENT_BYTES} bytes", "split it")]
+    try:
+        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        data = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        return [Fault(line, "", f"is not YAML: {getattr(error, 'problem', error)}")]
+    except (ValueError, RecursionError) as error:
+        return [Fault(1, "", f"is not YAML: {error}")]
+    if root is None:
+        return [Fault(1, "", "is empty")]
+    line_by_path: dict[Path, int] = {}
+    faults = list(_scan(root, (), line_by_path))
+    try:
+        checked = model.model_validate(data)
+    except ValidationError as error:
+        faults += [_fault(item, line_by_path, model) for item in error.errors()]
+        return sorted(faults, key=lambda fault: fault.line)
+    return faults or checked
+
+
+def _scan(node: yaml.Node, path: Path, line_by_path: dict[Path, int]):
+    """Note the line of each path and yield the keys that stand twice."""
+    line_by_path.setdefault(path, node.start_mark.line + 1)
+    if isinstance(node, yaml.MappingNode):
+        seen: set[str] = set()
+        for key, value in node.value:
+            inner = (*path, str(key.value))
+            line = key.start_mark.line + 1
+            if str(key.value) in seen:
+                yield Fault(line, _dotted(inner), "stands twice", "remove one")
+            seen.add(str(key.value))
+            line_by_path[inner] = line
+            yield from _scan(value, inner, line_by_path)
+    if isinstance(node, yaml.SequenceNode):
+        for index, value in enumerate(node.value):
+            yield from _scan(value, (*path, index), line_by_path)
+
+
+def _fault(item: Any, line_by_path: dict[Path, int], model: type[BaseModel]) -> Fault:
+    path = tuple(part for part in item["loc"] if part != "[key]")
+    line = _nearest_line(path, line_by_path)
+    if item["type"] == "extra_forbidden":
+        return Fault(line, _dotted(path), "is not a known key", _nearest_key(path, model))
+    if item["type"] == "missing":
+        return Fault(line, _dotted(path), "is missing", "add it")
+    message = item["msg"].removeprefix("Value error, ")
+    return Fault(line, _dotted(path), message[0].lower() + message[1:])
+
+
+def _nearest_line(path: Path, line_by_path: dict[Path, int]) -> int:
+    while path and path not in line_by_path:
+        path = path[:-1]
+    return line_by_path.get(path, 1)
+
+
+def _nearest_key(path: Path, model: type[BaseModel]) -> str:
+    known = sorted(_known_keys(model))
+    near = difflib.get_close_matches(str(path[-1]), known, n=1, cutoff=0.5)
+    return f"did you mean '{near[0]}'?" if near else "remove it"
+
+
+def _known_keys(model: type[BaseModel]) -> set[str]:
+    """Collect the keys of a model and of the models inside it."""
+    keys: set[str] = set()
+    for name, field in model.model_fields.items():
+        keys.add(field.alias or name)
+        for inner in _models_in(field.annotation):
+            keys |= _known_keys(inner)
+    return keys
+
+
+def _models_in(annotation: Any) -> list[type[BaseModel]]:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return [annotation]
+    return [m for arg in getattr(annotation, "__args__", ()) for m in _models_in(arg)]
+
+
+def _dotted(path: Path) -> str:
+    return ".".join(str(part) for part in path)
