--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,186 @@
+"""Describe the scenarios: shapes, load, faults and what happens on the way."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from firtrestle.clocks import Millis, sleep
+from firtrestle_standins.callers import Plan, search_plans
+from firtrestle_standins.rigs import Rig
+from firtrestle_standins.shapes import REGISTRY, REVIEW_DESK, Shape
+
+Script = Callable[[Rig], Awaitable[None]]
+
+TIMEOUT = Millis(2_000)
+DESK = "/collections/desk"
+CATALOGUE = """
+entries:
+  desk:
+    owner: bench
+    class: urgent
+    collection: {collection}
+    timeout_ms: 2000
+  desk-ordinary:
+    owner: bench
+    class: ordinary
+    collection: {collection}
+    timeout_ms: 2000
+"""
+
+
+async def _nothing(rig: Rig) -> None:
+    return
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Hold one scenario; `script` runs beside the load."""
+
+    name: str
+    about: str
+    shape: Shape = REVIEW_DESK
+    rate_per_second: float = 30.0
+    ordinary_per_second: float = 0.0
+    seconds: float = 20.0
+    timeout: Millis = TIMEOUT
+    poison: str = ""
+    faults: dict[str, Any] = field(default_factory=dict)
+    script: Script = _nothing
+    policies: tuple[str, ...] = ("baseline", "chosen")
+
+    def catalogue(self) -> str:
+        """Return the catalogue in force."""
+        return CATALOGUE.format(collection=self.shape.collection)
+
+    def plans(self, seed: int) -> list[tuple[float, list[Plan]]]:
+        """Return the groups of queries with their rates a second."""
+        collection = self.shape.collection
+        count = round(self.rate_per_second * self.seconds)
+        groups = [
+            (
+                self.rate_per_second,
+                search_plans(count, DESK, collection, self.timeout, seed, "urgent"),
+            )
+        ]
+        if self.ordinary_per_second:
+            count = round(self.ordinary_per_second * self.seconds)
+            path = DESK + "-ordinary"
+            plans = search_plans(count, path, collection, self.timeout, seed, "ordinary")
+            groups.append((self.ordinary_per_second, plans))
+        return groups
+
+
+async def _slow_instance(rig: Rig) -> None:
+    await sleep(Millis(4_000))
+    await rig.control("corners-2", slow_factor=10.0)
+
+
+async def _crash_and_restart(rig: Rig) -> None:
+    await sleep(Millis(4_000))
+    rig.kill("corners-4")
+    await sleep(Millis(5_000))
+    rig.restart_target("corners-4")
+
+
+async def _index_change(rig: Rig) -> None:
+    for number in range(2, 6):
+        await sleep(Millis(3_000))
+        await rig.add_version(REVIEW_DESK, REVIEW_DESK.version(number, more=30 * number))
+        await sleep(Millis(500))
+        await rig.drop_version(REVIEW_DESK, number - 1)
+
+
+async def _repartition(rig: Rig) -> None:
+    for number, shards in ((2, 20), (3, 45), (4, 30)):
+        await sleep(Millis(4_000))
+        await rig.add_version(REVIEW_DESK, REVIEW_DESK.version(number, shards=shards))
+        await sleep(Millis(500))
+        await rig.drop_version(REVIEW_DESK, number - 1)
+
+
+async def _drain(rig: Rig) -> None:
+    await sleep(Millis(5_000))
+    await rig.control("corners-1", draining=True)
+    await sleep(Millis(3_000))
+    for vm in rig.vms:
+        if vm["id"] == "corners-6":
+            vm["state"] = "leaving"
+    await rig.publish_vms()
+
+
+async def _cold_start(rig: Rig) -> None:
+    await sleep(Millis(3_000))
+    rig.kill("corners-5")
+    await sleep(Millis(3_000))
+    rig.restart_target("corners-5")
+    await sleep(Millis(500))
+    await rig.control("corners-5", slow_factor=6.0)
+    await sleep(Millis(3_000))
+    await rig.control("corners-5", slow_factor=1.0)
+
+
+async def _lying_reports(rig: Rig) -> None:
+    await rig.control("corners-0", claimed_load=0.0, slow_factor=6.0)
+    await rig.control("corners-5", claimed_load=0.0, fail_share=0.5)
+
+
+async def _lost_searcher(rig: Rig) -> None:
+    await sleep(Millis(5_000))
+    rig.kill("registry-2")
+
+
+def _scenarios() -> list[Scenario]:
+    straggle = {"straggle_share": 0.01, "straggle_factor": 20.0, "latency_ms": 30.0}
+    return [
+        Scenario("calm", "nothing straggles", faults={"latency_ms": 30.0}, rate_per_second=12.0),
+        Scenario(
+            "straggler",
+            "1 in 100 sub-replies is 20 times slower",
+            faults=straggle,
+            rate_per_second=12.0,
+            seconds=40.0,
+        ),
+        Scenario("slow-instance", "one instance is 10 times slower", script=_slow_instance),
+        Scenario("lying-load-reports", "one slow, one failing, idle", script=_lying_reports),
+        Scenario(
+            "shedding", "each sub-request is shed 3 times in 100", faults={"shed_share": 0.03}
+        ),
+        Scenario(
+            "overload",
+            "urgent load as alone beside ordinary load, twice what the slots serve in all",
+            faults={"latency_ms": 120.0},
+            rate_per_second=15.0,
+            ordinary_per_second=85.0,
+        ),
+        Scenario(
+            "urgent-alone",
+            "the urgent load of the overload scenario by itself",
+            faults={"latency_ms": 120.0},
+            rate_per_second=15.0,
+        ),
+        Scenario(
+            "crash-and-restart", "one instance dies and comes back", script=_crash_and_restart
+        ),
+        Scenario("index-change", "four new index versions", script=_index_change),
+        Scenario("repartition", "30, 20, 45 and 30 shards", script=_repartition),
+        Scenario("drain", "one instance drains, one is listed as leaving", script=_drain),
+        Scenario("cold-start", "one instance restarts cold", script=_cold_start),
+        Scenario(
+            "poison",
+            "a request that crashes what runs it, resent six times",
+            faults={"poison": "boom"},
+            poison="boom",
+        ),
+        Scenario(
+            "small-registry",
+            "four searchers, one lost",
+            shape=REGISTRY,
+            rate_per_second=60.0,
+            script=_lost_searcher,
+        ),
+    ]
+
+
+SCENARIO_BY_NAME = {scenario.name: scenario for scenario in _scenarios()}
--- a/packages/firtrestle-standins/firtrestle_standins/targets.py
+++ b/packages/firtrestle-standins/firtrestle_standins/targets.py
@@ -91,7 +91,7 @@
         self._connections = 0
         self._last_echo: dict[str, Any] | None = None
         bounds = HttpBounds(max_body_bytes=1_000_000, idle_timeout=Millis(3_600_000))
-        self._server = HttpServer(self.handle, bounds, max_connections=100_000)
+        self._server = HttpServer(self.handle, bounds, 100_000, watch_callers=False)
 
     async def run(self) -> None:
         """Listen until ended."""
@@ -111,7 +111,7 @@
         finally:
             self._connections -= 1
 
-    async def handle(self, request: HttpRequest) -> HttpResponse:
+    async def handle(self, request: HttpRequest) -> HttpResponse | None:
         """Answer one request."""
         match request.path:
             case "/status":
@@ -173,7 +173,7 @@
             scope.cancel()
         return HttpResponse.from_json({"cancelled": scope is not None})
 
-    async def _run(self, request: HttpRequest, is_submit: bool) -> HttpResponse:
+    async def _run(self, request: HttpRequest, is_submit: bool) -> HttpResponse | None:
         call = json.loads(request.body)
         version, shard, name = call["version"], call["shard"], call["searcher"]
         self.record.add(
@@ -202,7 +202,7 @@
 
     async def _work(
         self, request: HttpRequest, call: dict[str, Any], is_submit: bool
-    ) -> HttpResponse:
+    ) -> HttpResponse | None:
         budget = Millis(float(request.header("request-timeout-ms", "60000")))
         call_id = (call["request_id"], call["attempt"])
         scope = trio.CancelScope()
@@ -221,7 +221,7 @@
         if is_submit:
             self.record.add(EventKind.TARGET_RAN, call["request_id"], key=call["key"])
             if self._rng.random() < self.faults.lose_reply_share:
-                raise trio.BrokenResourceError("the reply is lost")
+                return None
         return self._reply(call, is_submit)
 
     async def _spend_time(self, call: dict[str, Any]) -> None:
--- a/packages/firtrestle/firtrestle/budgets.py
+++ b/packages/firtrestle/firtrestle/budgets.py
@@ -6,7 +6,7 @@
 
 WINDOW = Millis(10_000)
 LEAST_CAP = 10.0  # tokens, so that a quiet entry can retry at all
-RETRY_RESERVE = 0.5  # of the cap, that hedges leave for retries
+RETRY_RESERVE = 3.0  # tokens that hedges leave for retries
 
 
 class ExtraLoadBudget:
@@ -40,7 +40,7 @@
 
     def spend_on_hedge(self) -> bool:
         """Take the right to one hedge, if enough is left for retries."""
-        return self._spend(max(1.0, self._cap * RETRY_RESERVE))
+        return self._spend(1.0 + RETRY_RESERVE)
 
     def _spend(self, needed_tokens: float) -> bool:
         if self._tokens < needed_tokens:
--- a/packages/firtrestle/firtrestle/catalogues.py
+++ b/packages/firtrestle/firtrestle/catalogues.py
@@ -36,6 +36,14 @@
     COVERAGE = "coverage"
 
 
+class Canary(StrEnum):
+    """Say which queries run on one target before they run on all."""
+
+    ALWAYS = "always"
+    NEW_SHAPES = "new-shapes"
+    NEVER = "never"
+
+
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid")
 
@@ -60,6 +68,7 @@
     least_coverage: float = Field(0.0, ge=0, le=1)
     timeout_ms: int = Field(1_000, ge=1)
     extra_load: float = Field(0.02, ge=0, le=0.5)
+    canary: Canary = Canary.NEW_SHAPES
 
     @model_validator(mode="after")
     def _check_paths(self) -> EntryModel:
@@ -103,6 +112,7 @@
     least_coverage: float
     timeout: Millis
     extra_load: float
+    canary: Canary
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,4 +158,5 @@
         least_coverage=model.least_coverage,
         timeout=Millis(model.timeout_ms),
         extra_load=model.extra_load,
+        canary=model.canary,
     )
--- a/packages/firtrestle/firtrestle/events.py
+++ b/packages/firtrestle/firtrestle/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
 
@@ -63,7 +63,15 @@
 
     def to_dict(self) -> dict[str, Any]:
         """Return the event as plain values."""
-        return asdict(self)
+        return {
+            "seq": self.seq,
+            "at": self.at,
+            "process": self.process,
+            "incarnation": self.incarnation,
+            "kind": str(self.kind),
+            "request_id": self.request_id,
+            "fields": self.fields,
+        }
 
     @classmethod
     def from_dict(cls, raw: dict[str, Any]) -> Event:
--- a/packages/firtrestle/firtrestle/fronts.py
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -19,7 +19,7 @@
 from firtrestle.members import Members
 from firtrestle.pauses import PauseGuard
 from firtrestle.problems import problem_response
-from firtrestle.queries import Gathered, Query
+from firtrestle.queries import Gathered, Query, fingerprint_of, shape_of
 from firtrestle.searches import Searches, SnapshotViews
 from firtrestle.settings import Settings
 from firtrestle.snapshots import pin
@@ -152,7 +152,9 @@
                 return refused
         reserve = self._settings.front.answer_reserve_ms
         give_up_at = Millis(started_at + timeout - reserve)
-        return Query(request_id, entry, body, urgent, give_up_at, key)
+        fingerprint = fingerprint_of(entry.collection, body)
+        shape = shape_of(entry.collection, body)
+        return Query(request_id, entry, body, urgent, give_up_at, key, fingerprint, shape)
 
     def _read_timeout(self, request: HttpRequest, entry: Entry) -> Millis | Refused:
         raw = request.header(TIMEOUT_HEADER)
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -17,7 +17,6 @@
 from firtrestle.events import EventKind, EventLog
 from firtrestle.hedgers import Hedger, Progress
 from firtrestle.holders import Holders
-from firtrestle.latencies import LatencyWindow
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
 from firtrestle.quarantines import Quarantines
@@ -27,6 +26,7 @@
 from firtrestle.snapshots import ReplicaId, Snapshot
 
 RETRY_PAUSE = Millis(30)
+HEDGE_RECHECK = Millis(1)
 MAX_TRIES_PER_SHARD = 8
 LATENCY_SHARE = 0.5  # of the time, after which an entry that weighs latency stops waiting
 SAME_REPLICA_AGAIN = frozenset({SubOutcome.UNREACHABLE, SubOutcome.NOT_HOLDER})
@@ -60,15 +60,8 @@
     chooser: ReplicaChooser
     hedger: Hedger
     quarantines: Quarantines
-    window_by_collection: dict[str, LatencyWindow] = field(default_factory=dict)
     budget_by_entry: dict[str, ExtraLoadBudget] = field(default_factory=dict)
 
-    def window(self, collection: str) -> LatencyWindow:
-        """Return the sub-request latencies of a collection."""
-        if collection not in self.window_by_collection:
-            self.window_by_collection[collection] = LatencyWindow(self.clock)
-        return self.window_by_collection[collection]
-
     def budget(self, entry_name: str, fraction: float) -> ExtraLoadBudget:
         """Return the extra-load budget of an entry."""
         budget = self.budget_by_entry.get(entry_name)
@@ -106,12 +99,12 @@
         self._query = query
         self._snapshot = snapshot
         self._numbers = numbers
-        self._window = tools.window(snapshot.collection)
         self._budget = tools.budget(query.entry.name, query.entry.extra_load)
         self._result = Gathered(snapshot)
         self._open_by_shard: dict[int, _Shard] = {}
         self._waiting_shards: deque[int] = deque()
         self._latencies: list[Millis] = []
+        self._given_up: list[Millis] = []
         self._started_at = tools.clock.now()
         self._send, self._receive = trio.open_memory_channel(10_000)
         self._nursery: trio.Nursery
@@ -132,6 +125,8 @@
                     break
                 await self._step()
             nursery.cancel_scope.cancel()
+        signals.sub_requests_sent.send(self._query.entry.name, count=self._result.sent)
+        self._tools.hedger.learn(self._snapshot.collection, self._latencies + self._given_up)
         if self._ended is not None:
             return self._ended
         for shard in list(self._open_by_shard):
@@ -149,7 +144,7 @@
     def _send_first(self) -> None:
         """Send to each shard, or to a canary alone for a query without history."""
         shards = list(self._open_by_shard)
-        canaries = self._tools.quarantines.canaries_for(self._query.fingerprint)
+        canaries = self._tools.quarantines.canaries_for(self._query)
         if canaries and len(shards) > canaries:
             self._tools.rng.shuffle(shards)
             self._waiting_shards.extend(shards[canaries:])
@@ -198,7 +193,6 @@
         replica = attempt.replica
         replica.in_flight += 1
         self._result.sent += 1
-        signals.sub_request_sent.send(self._query.entry.name)
         try:
             with attempt.scope:
                 reply = await self._tools.holders.send(sub)
@@ -252,10 +246,9 @@
         for loser in state.attempts:
             lost = Millis(self._tools.clock.now() - loser.sent_at)
             loser.replica.note_slow(lost)
-            self._window.add(lost)
+            self._given_up.append(lost)
             loser.scope.cancel()
         self._latencies.append(latency)
-        self._window.add(latency)
         for row in reply.rows:
             if self._result.rows_by_id.setdefault(str(row.get("id")), row) is not row:
                 self._result.doubled_rows += 1
@@ -265,7 +258,7 @@
         if covered < documents or reply.truncated:
             missing = MissingShard(state.number, documents - covered, "truncated")
             self._result.missing_by_shard[state.number] = missing
-        self._tools.quarantines.clear(self._query.fingerprint)
+        self._tools.quarantines.clear(self._query)
         self._release_waiting()
 
     def _fail(self, state: _Shard, attempt: _Attempt, reply: SubReply, outcome: SubOutcome) -> None:
@@ -301,7 +294,7 @@
         quarantines = self._tools.quarantines
         if self._result.covered_by_shard:
             return False
-        if quarantines.note_death(self._query.fingerprint, self._query.entry.name, target_id):
+        if quarantines.note_death(self._query, target_id):
             self._ended = Quarantined(self._result.sent)
             return True
         return False
@@ -345,16 +338,17 @@
         if delay is None:
             return stop_at
         candidates = [s.attempts[0].sent_at for s in self._hedgeable()]
-        return Millis(min(stop_at, min(candidates, default=stop_at) + delay))
+        due = min(candidates, default=stop_at) + delay
+        soonest = self._tools.clock.now() + HEDGE_RECHECK
+        return Millis(min(stop_at, max(due, soonest)))
 
     def _hedge_delay(self) -> Millis | None:
-        shards = len(self._snapshot.documents_by_shard)
-        if not self._latencies and shards > 1:
+        shards = len(self._snapshot.documents_by_shard) - len(self._waiting_shards)
+        if len(self._latencies) < (shards - 1) * self._tools.hedger.least_answered:
             return None
         middle = Millis(median(self._latencies)) if self._latencies else Millis(0)
-        elapsed = Millis(self._tools.clock.now() - self._started_at)
-        progress = Progress(shards, len(self._latencies), elapsed, middle)
-        return self._tools.hedger.delay(self._window, progress)
+        progress = Progress(self._snapshot.collection, shards, len(self._latencies), middle)
+        return self._tools.hedger.delay(progress)
 
     def _hedgeable(self) -> list[_Shard]:
         return [s for s in self._open_by_shard.values() if s.attempts and not s.hedged]
@@ -368,12 +362,17 @@
         for state in self._hedgeable():
             if now - state.attempts[0].sent_at < delay:
                 continue
-            state.hedged = True
-            if not self._has_other_replica(state) or not self._budget.spend_on_hedge():
+            if not self._has_quiet_replica(state):
+                state.hedged = True
                 continue
+            if not self._budget.spend_on_hedge():
+                return
+            state.hedged = True
             self._send_next(state.number)
             self._tools.events.add(EventKind.SUB_HEDGED, self._query.request_id, shard=state.number)
 
-    def _has_other_replica(self, state: _Shard) -> bool:
+    def _has_quiet_replica(self, state: _Shard) -> bool:
+        """Say whether a target not yet tried, and without a queue, holds the shard."""
         ids = self._snapshot.replicas_by_shard.get(state.number, ())
-        return bool(self._elsewhere(state, [one for one in ids if one not in state.tried]))
+        others = self._elsewhere(state, [one for one in ids if one not in state.tried])
+        return any(self._tools.replicas.get(one).queue_hint == 0 for one in others)
--- a/packages/firtrestle/firtrestle/hedgers.py
+++ b/packages/firtrestle/firtrestle/hedgers.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from firtrestle.clocks import Clock, Millis
-from firtrestle.latencies import LatencyWindow
 
 
 @dataclass(frozen=True, slots=True)
 class Progress:
-    """Hold how far one query has come."""
+    """Hold how far one query has come; `median_reply` is over the shards that answered."""
 
+    collection: str
     shards: int
     answered: int
-    elapsed: Millis
     median_reply: Millis
 
 
@@ -22,6 +22,7 @@
     """Say how long a sub-request may take before it is hedged."""
 
     name: str
+    least_answered = 0.0  # share of a query's other shards that must have answered first
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -31,6 +32,10 @@
         """Build a hedger."""
         return cls(clock)
 
-    def delay(self, window: LatencyWindow, progress: Progress) -> Millis | None:
+    def delay(self, progress: Progress) -> Millis | None:
         """Return the time after sending from which a shard may be hedged, None for not yet."""
         raise NotImplementedError
+
+    def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
+        """Take in one query's sub-request latencies, those given up on included."""
+        raise NotImplementedError
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from firtrestle.clocks import Millis, move_on_after
-from firtrestle.errors import ErrorKind, Refused
+from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.problems import problem_response
 
 CHUNK_BYTES = 65_536
@@ -52,7 +52,7 @@
         return cls(status, json.dumps(value, separators=(",", ":")).encode(), headers=headers)
 
 
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]  # None cuts the connection
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,10 +67,17 @@
 class HttpServer:
     """Run the connections of one listener."""
 
-    def __init__(self, handler: Handler, bounds: HttpBounds, max_connections: int = 1_000) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        bounds: HttpBounds,
+        max_connections: int = 1_000,
+        watch_callers: bool = True,
+    ) -> None:
         self.handler = handler
         self.bounds = bounds
         self.max_connections = max_connections
+        self.watch_callers = watch_callers
         self.open_connections = 0
         self.closing = False
         self._idle_scopes: set[trio.CancelScope] = set()
@@ -171,17 +178,22 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse | None:
         """Run the handler; return None when the caller left first."""
+        if not self._server.watch_callers:
+            return await self._call_handler(request)
         response: HttpResponse | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_leaving, nursery.cancel_scope)
-            try:
-                response = await self._server.handler(request)
-            except Exception:
-                logger.exception("the handler of {} {} failed", request.method, request.path)
-                response = problem_response(Refused(ErrorKind.INTERNAL), "")
+            response = await self._call_handler(request)
             nursery.cancel_scope.cancel()
         return response
 
+    async def _call_handler(self, request: HttpRequest) -> HttpResponse | None:
+        try:
+            return await self._server.handler(request)
+        except Exception:
+            logger.exception("the handler of {} {} failed", request.method, request.path)
+            return problem_response(Refused(ErrorKind.INTERNAL, Ran.UNKNOWN), "")
+
     async def _watch_for_leaving(self, scope: trio.CancelScope) -> None:
         try:
             data = await self._stream.receive_some(CHUNK_BYTES)
--- a/packages/firtrestle/firtrestle/lanes.py
+++ b/packages/firtrestle/firtrestle/lanes.py
@@ -38,7 +38,6 @@
     sub: SubRequest
     give_up_at: Millis
     done: trio.Event = field(default_factory=trio.Event)
-    cancelled: trio.Event = field(default_factory=trio.Event)
     reply: SubReply | None = None
     started: bool = False
 
@@ -93,9 +92,10 @@
                 await call.done.wait()
         finally:
             if call.reply is None:
-                call.cancelled.set()
                 call.finish(_empty(sub, SubOutcome.DEADLINE, sent=call.started))
-        call.reply.queue = self.queue_length
+                if call.started and not sub.key:
+                    self._nursery.start_soon(self._cancel_at_target, sub)
+        call.reply.queue = len(self._queue)
         return call.reply
 
     def close(self) -> None:
@@ -158,7 +158,7 @@
         while self._queue and self._may_send():
             entry = heapq.heappop(self._queue)
             call = entry[2]
-            if call.cancelled.is_set() or call.reply is not None:
+            if call.reply is not None:
                 continue
             if self._slot_is_free(call.sub.searcher):
                 self._start(call)
@@ -199,20 +199,17 @@
     async def _exchange(self, call: _Call, connection: HttpConnection) -> None:
         """Send the call and hold its slot until the target replied or confirmed a cancel."""
         budget = Millis(call.give_up_at - self._clock.now())
-        if call.cancelled.is_set() or budget <= 0:
+        if call.reply is not None or budget <= 0:
             call.finish(_empty(call.sub, SubOutcome.DEADLINE))
             self._give_back(connection)
             return
         call.started = True
         try:
             with move_on_after(Millis(budget + self._settings.cancel_grace_ms)):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._cancel_when_asked, call)
-                    reply = await self._send(call.sub, connection, budget)
-                    if call.reply is None and _is_death(reply):
-                        self.deaths += 1
-                    call.finish(_read_reply(call.sub, reply))
-                    nursery.cancel_scope.cancel()
+                reply = await self._send(call.sub, connection, budget)
+                if call.reply is None and _is_death(reply):
+                    self.deaths += 1
+                call.finish(_read_reply(call.sub, reply))
             call.finish(_empty(call.sub, SubOutcome.DEADLINE, sent=True))
         finally:
             if call.reply is not None and call.reply.outcome == SubOutcome.BAD_REPLY:
@@ -235,18 +232,17 @@
         headers = {DEADLINE_HEADER: str(round(budget))}
         return await connection.request("POST", f"/{sub.kind}", json.dumps(body).encode(), headers)
 
-    async def _cancel_when_asked(self, call: _Call) -> None:
-        await call.cancelled.wait()
-        if call.sub.key:
-            return
-        connection = await self._connection(spare=True)
-        if isinstance(connection, HttpFailure):
-            return
-        body = {"request_id": call.sub.request_id, "attempt": call.sub.attempt}
-        try:
-            await connection.request("POST", "/cancel", json.dumps(body).encode())
-        finally:
-            self._give_back(connection)
+    async def _cancel_at_target(self, sub: SubRequest) -> None:
+        """Ask the target to stop a search; its slot is free once the search's reply comes."""
+        with move_on_after(Millis(self._settings.cancel_grace_ms)):
+            connection = await self._connection(spare=True)
+            if isinstance(connection, HttpFailure):
+                return
+            body = {"request_id": sub.request_id, "attempt": sub.attempt}
+            try:
+                await connection.request("POST", "/cancel", json.dumps(body).encode())
+            finally:
+                self._give_back(connection)
 
     async def _connection(self, spare: bool = False) -> HttpConnection | HttpFailure:
         """Take an idle connection or open one; a spare one may go one over the share in use."""
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -12,6 +12,7 @@
 
 Kind = TypeVar("Kind")
 message_by_tag: dict[str, type] = {}
+_names_by_class: dict[type, tuple[str, ...]] = {}
 
 
 class BadFrame(ValueError):
@@ -190,7 +191,7 @@
 
 def encode(call_id: int, value: Any) -> bytes:
     """Pack a message with its call's number."""
-    body = {f.name: getattr(value, f.name) for f in fields(value)}
+    body = {name: getattr(value, name) for name in _names(type(value))}
     return msgpack.packb({"v": PROTOCOL_VERSION, "c": call_id, "t": value.tag, "b": body})
 
 
@@ -203,13 +204,21 @@
     cls = message_by_tag.get(raw.get("t"))
     if cls is None or not isinstance(raw.get("c"), int):
         raise BadFrame(f"unknown message {raw.get('t')!r}")
-    known = {f.name for f in fields(cls)}
+    body = raw["b"]
     try:
-        return raw["c"], cls(**{name: raw["b"][name] for name in raw["b"] if name in known})
+        return raw["c"], cls(**{name: body[name] for name in _names(cls) if name in body})
     except TypeError as error:
         raise BadFrame(f"bad {raw['t']}: {error}") from error
 
 
+def _names(cls: type) -> tuple[str, ...]:
+    names = _names_by_class.get(cls)
+    if names is None:
+        names = tuple(one.name for one in fields(cls))
+        _names_by_class[cls] = names
+    return names
+
+
 def new_unpacker() -> msgpack.Unpacker:
     """Build an unpacker that bounds its memory."""
     return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES, strict_map_key=True, raw=False)
--- a/packages/firtrestle/firtrestle/plugins/hedgers.py
+++ b/packages/firtrestle/firtrestle/plugins/hedgers.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from statistics import median
 from typing import TYPE_CHECKING
 
-from firtrestle.clocks import Millis
+from firtrestle.clocks import Clock, Millis
 from firtrestle.hedgers import Hedger, Progress
 from firtrestle.latencies import LatencyWindow
 
 if TYPE_CHECKING:
     from firtrestle.kernels import Kernel
 
-MIN_SAMPLES = 50
-TRIGGER_PERCENT = 98.0
-MEDIAN_FACTOR = 1.5
-MIN_ANSWERED = 0.6  # share of the query's shards that must have answered first
+MIN_SAMPLES = 60
+TRIGGER_PERCENT = 98.5
+LEAST_RATIO = 1.2  # of a query's median reply
+SHORTEST_MEDIAN = Millis(0.1)
 
 
 class NoHedger(Hedger):
@@ -22,27 +24,77 @@
 
     name = "none"
 
-    def delay(self, window: LatencyWindow, progress: Progress) -> Millis | None:
+    def delay(self, progress: Progress) -> Millis | None:
         return None
 
+    def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
+        return
 
-class AdaptiveHedger(Hedger):
-    """Hedge what is late by the recent quantile and by the query's own other shards."""
+
+class QuantileHedger(Hedger):
+    """Hedge what is late by the recent latencies of the collection."""
+
+    name = "quantile"
+    least_answered = 0.9
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._window_by_collection: dict[str, LatencyWindow] = {}
+
+    def delay(self, progress: Progress) -> Millis | None:
+        window = self._window(progress.collection)
+        return window.quantile(TRIGGER_PERCENT) if window.count >= MIN_SAMPLES else None
+
+    def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
+        window = self._window(collection)
+        for latency in latencies:
+            window.add(latency)
+
+    def _window(self, collection: str) -> LatencyWindow:
+        if collection not in self._window_by_collection:
+            self._window_by_collection[collection] = LatencyWindow(self._clock)
+        return self._window_by_collection[collection]
+
+
+class AdaptiveHedger(QuantileHedger):
+    """Hedge what is late by the median of the query's own replies.
+
+    The ratio that counts as late is a recent quantile too, so that a slow moment of the daemon
+    or of all targets, which slows each reply of a query alike, sets off no hedges.
+    """
 
     name = "adaptive"
 
-    def delay(self, window: LatencyWindow, progress: Progress) -> Millis | None:
-        if window.count < MIN_SAMPLES:
-            return None
-        late = window.quantile(TRIGGER_PERCENT)
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._ratios_by_collection: dict[str, LatencyWindow] = {}
+
+    def delay(self, progress: Progress) -> Millis | None:
         if progress.shards == 1:
-            return late
-        if progress.answered < MIN_ANSWERED * (progress.shards - 1):
+            return super().delay(progress)
+        ratios = self._ratios(progress.collection)
+        if ratios.count < MIN_SAMPLES:
             return None
-        return Millis(max(late, MEDIAN_FACTOR * progress.median_reply))
+        ratio = max(LEAST_RATIO, ratios.quantile(TRIGGER_PERCENT))
+        return Millis(ratio * progress.median_reply)
+
+    def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
+        super().learn(collection, latencies)
+        if len(latencies) < 2:
+            return
+        middle = max(SHORTEST_MEDIAN, median(latencies))
+        ratios = self._ratios(collection)
+        for latency in latencies:
+            ratios.add(Millis(latency / middle))
+
+    def _ratios(self, collection: str) -> LatencyWindow:
+        if collection not in self._ratios_by_collection:
+            self._ratios_by_collection[collection] = LatencyWindow(self._clock)
+        return self._ratios_by_collection[collection]
 
 
 def register(kernel: Kernel) -> None:
     """Add the hedgers to the kernel."""
     kernel.hedgers.add(NoHedger)
+    kernel.hedgers.add(QuantileHedger)
     kernel.hedgers.add(AdaptiveHedger)
--- a/packages/firtrestle/firtrestle/plugins/metrics.py
+++ b/packages/firtrestle/firtrestle/plugins/metrics.py
@@ -23,12 +23,12 @@
     REFUSALS.labels(entry_name, str(refused.kind), str(refused.ran)).inc()
 
 
-def _on_sub_request(entry_name: str) -> None:
-    SUB_REQUESTS.labels(entry_name).inc()
+def _on_sub_requests(entry_name: str, count: int) -> None:
+    SUB_REQUESTS.labels(entry_name).inc(count)
 
 
 def register(kernel: Kernel) -> None:
     """Hook the counters to the signals."""
     signals.query_answered.connect(_on_answer)
     signals.query_refused.connect(_on_refusal)
-    signals.sub_request_sent.connect(_on_sub_request)
+    signals.sub_requests_sent.connect(_on_sub_requests)
--- a/packages/firtrestle/firtrestle/quarantines.py
+++ b/packages/firtrestle/firtrestle/quarantines.py
@@ -8,14 +8,18 @@
 
 from loguru import logger
 
+from firtrestle.catalogues import Canary
 from firtrestle.clocks import Clock, Millis
 from firtrestle.events import EventKind, EventLog
+from firtrestle.queries import Query
 from firtrestle.settings import QuarantineSettings
 from firtrestle.spreads import SpreadMap
 
 QUARANTINE_PREFIX = "quarantine/"
 MAX_KNOWN_GOOD = 100_000
 MAX_SUSPECTS = 10_000
+MAX_SHAPES = 10_000
+SURVIVALS_OF_KNOWN_SHAPE = 10  # shards that answered queries of a shape
 
 
 @dataclass(slots=True)
@@ -35,11 +39,16 @@
         self._events = events
         self._suspect_by_fingerprint: dict[str, _Suspect] = {}
         self._known_good: OrderedDict[str, None] = OrderedDict()
+        self._survivals_by_shape: OrderedDict[str, int] = OrderedDict()
+        self._alert_until_by_entry: dict[str, Millis] = {}
         items.guard(QUARANTINE_PREFIX, self._is_current)
 
-    def canaries_for(self, fingerprint: str) -> int:
-        """Return how many sub-requests go first, 0 for a request that has run before."""
-        if fingerprint in self._known_good:
+    def canaries_for(self, query: Query) -> int:
+        """Return how many sub-requests go first, 0 for a query that is no risk."""
+        if query.entry.canary is Canary.NEVER or query.fingerprint in self._known_good:
+            return 0
+        calm = query.entry.canary is Canary.NEW_SHAPES and not self._on_alert(query.entry.name)
+        if calm and self._survivals_by_shape.get(query.shape, 0) >= SURVIVALS_OF_KNOWN_SHAPE:
             return 0
         return self._settings.canaries
 
@@ -47,16 +56,23 @@
         """Say whether a target died of the request and none has survived it."""
         return fingerprint in self._suspect_by_fingerprint
 
-    def clear(self, fingerprint: str) -> None:
-        """Take note that a target survived the request."""
-        self._suspect_by_fingerprint.pop(fingerprint, None)
-        self._known_good[fingerprint] = None
-        self._known_good.move_to_end(fingerprint)
+    def clear(self, query: Query) -> None:
+        """Take note that a target survived the query."""
+        self._suspect_by_fingerprint.pop(query.fingerprint, None)
+        self._known_good[query.fingerprint] = None
+        self._known_good.move_to_end(query.fingerprint)
         if len(self._known_good) > MAX_KNOWN_GOOD:
             self._known_good.popitem(last=False)
-
-    def note_death(self, fingerprint: str, entry_name: str, target_id: str) -> bool:
-        """Count a death; return whether the request is held off from now on."""
+        survivals = self._survivals_by_shape.get(query.shape, 0)
+        self._survivals_by_shape[query.shape] = survivals + 1
+        if len(self._survivals_by_shape) > MAX_SHAPES:
+            self._survivals_by_shape.popitem(last=False)
+
+    def note_death(self, query: Query, target_id: str) -> bool:
+        """Count a death; return whether the query is held off from now on."""
+        entry_name, fingerprint = query.entry.name, query.fingerprint
+        alert_until = Millis(self._clock.now() + self._settings.alert_ms)
+        self._alert_until_by_entry[entry_name] = alert_until
         suspect = self._suspect_by_fingerprint.setdefault(fingerprint, _Suspect())
         suspect.targets.add(target_id)
         if len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
@@ -71,6 +87,9 @@
         logger.warning("request {} of {} crashed {}", fingerprint, entry_name, targets)
         return True
 
+    def _on_alert(self, entry_name: str) -> bool:
+        return self._clock.now() < self._alert_until_by_entry.get(entry_name, Millis(0))
+
     def time_left(self, fingerprint: str) -> Millis | None:
         """Return how long a request is still held off, or None."""
         key = QUARANTINE_PREFIX + fingerprint
--- a/packages/firtrestle/firtrestle/queries.py
+++ b/packages/firtrestle/firtrestle/queries.py
@@ -23,12 +23,26 @@
     urgent: bool
     give_up_at: Millis
     key: str = ""
+    fingerprint: str = ""
+    shape: str = ""
 
-    @property
-    def fingerprint(self) -> str:
-        """Return what tells this query from others, whoever sends it."""
-        canonical = json.dumps([self.entry.collection, self.body], sort_keys=True)
-        return hex64(canonical)
+
+def fingerprint_of(collection: str, body: dict[str, Any]) -> str:
+    """Return what tells a query from others, whoever sends it."""
+    return hex64(json.dumps([collection, body], sort_keys=True))
+
+
+def shape_of(collection: str, body: Any) -> str:
+    """Return the names and types of a query, without its values."""
+    return f"{collection}:{_shape(body)}"
+
+
+def _shape(value: Any) -> str:
+    if isinstance(value, dict):
+        return "{" + ",".join(f"{k}:{_shape(v)}" for k, v in sorted(value.items())) + "}"
+    if isinstance(value, list):
+        return "[" + ",".join(sorted({_shape(one) for one in value})) + "]"
+    return type(value).__name__
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -96,7 +96,8 @@
 
     deaths: int = Field(2, ge=1, description="target deaths that quarantine a request")
     hold_ms: int = Field(60_000, ge=1, description="length of a quarantine, ms")
-    canaries: int = Field(1, ge=0, description="sub-requests sent first for an unknown request")
+    canaries: int = Field(1, ge=0, description="sub-requests sent first for a doubtful request")
+    alert_ms: int = Field(600_000, ge=0, description="time of canaries for all after a death, ms")
 
 
 class LogSettings(_Section):
--- a/packages/firtrestle/firtrestle/signals.py
+++ b/packages/firtrestle/firtrestle/signals.py
@@ -6,6 +6,6 @@
 
 query_answered = _namespace.signal("query-answered")
 query_refused = _namespace.signal("query-refused")
-sub_request_sent = _namespace.signal("sub-request-sent")
+sub_requests_sent = _namespace.signal("sub-requests-sent")
 target_died = _namespace.signal("target-died")
 catalogue_applied = _namespace.signal("catalogue-applied")
