Run sub-requests without a task and a scope each

Cause: a sub-request cost five tasks and scopes between front and holder; the daemon's processor time set p50 and p99, seen in a sampling profile of one daemon under the calm scenario. Ruled out: h11 alone (about a quarter of the samples). Change: replies are delivered into the query's channel; lanes and peer streams start and cancel calls. Also fixed: hedges dropped for good when a stale queue hint was seen once.

--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -135,7 +135,7 @@
             self._claims,
             self._pauses,
         )
-        self._peer_server = PeerServer(self._peer_calls.serve)
+        self._peer_server = PeerServer(self._peer_calls.serve, self._peer_calls.start_sub)
         self._routes = OperatorRoutes(
             self.front,
             self.members,
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 from statistics import median
 
 import trio
@@ -13,12 +15,13 @@
 from firtrestle import signals
 from firtrestle.budgets import ExtraLoadBudget
 from firtrestle.catalogues import Weighing
-from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.clocks import Clock, Millis, move_on_after
 from firtrestle.events import EventKind, EventLog
 from firtrestle.hedgers import Hedger, Progress
-from firtrestle.holders import Holders
+from firtrestle.holders import FINISHED, Holders
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
+from firtrestle.peers import Cancellable
 from firtrestle.quarantines import Quarantines
 from firtrestle.queries import Gathered, MissingShard, Query
 from firtrestle.replica_choosers import ReplicaChooser
@@ -77,7 +80,19 @@
     shard: int
     replica: Replica
     sent_at: Millis
-    scope: trio.CancelScope
+    call: Cancellable = FINISHED
+    counted: bool = True
+
+    def uncount(self) -> None:
+        """Take the attempt off its replica's load, once."""
+        if self.counted:
+            self.counted = False
+            self.replica.in_flight -= 1
+
+    def cancel(self) -> None:
+        """Stop the attempt."""
+        self.uncount()
+        self.call.cancel()
 
 
 @dataclass(slots=True)
@@ -106,8 +121,8 @@
         self._latencies: list[Millis] = []
         self._given_up: list[Millis] = []
         self._started_at = tools.clock.now()
-        self._send, self._receive = trio.open_memory_channel(10_000)
-        self._nursery: trio.Nursery
+        self._send, self._receive = trio.open_memory_channel(math.inf)
+        self._again_at_by_shard: dict[int, Millis] = {}
         self._ended: SnapshotGone | Quarantined | None = None
         self._may_move = True
 
@@ -117,14 +132,14 @@
         shards = range(len(self._snapshot.documents_by_shard))
         self._open_by_shard = {shard: _Shard(shard) for shard in shards}
         self._budget.earn(len(shards))
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+        try:
             self._send_first()
             while self._open_by_shard and self._ended is None and not self._is_hopeless():
                 if self._tools.clock.now() >= self._stop_at():
                     break
                 await self._step()
-            nursery.cancel_scope.cancel()
+        finally:
+            self._cancel_all()
         signals.sub_requests_sent.send(self._query.entry.name, count=self._result.sent)
         self._tools.hedger.learn(self._snapshot.collection, self._latencies + self._given_up)
         if self._ended is not None:
@@ -139,8 +154,14 @@
             attempt, reply = await self._receive.receive()
             self._take(attempt, reply)
             return
+        self._send_again()
         self._hedge_late()
 
+    def _cancel_all(self) -> None:
+        for state in self._open_by_shard.values():
+            for attempt in state.attempts:
+                attempt.cancel()
+
     def _send_first(self) -> None:
         """Send to each shard, or to a canary alone for a query without history."""
         shards = list(self._open_by_shard)
@@ -179,27 +200,23 @@
         state.tries += 1
         state.tried.add(replica.id)
         number = next(self._numbers)
-        attempt = _Attempt(number, shard, replica, self._tools.clock.now(), trio.CancelScope())
+        attempt = _Attempt(number, shard, replica, self._tools.clock.now())
         state.attempts.append(attempt)
-        self._nursery.start_soon(self._run_attempt, attempt)
+        replica.in_flight += 1
+        self._result.sent += 1
+        attempt.call = self._tools.holders.start(
+            self._sub_request(attempt), partial(self._deliver, attempt)
+        )
         return True
 
+    def _deliver(self, attempt: _Attempt, reply: SubReply) -> None:
+        attempt.uncount()
+        self._send.send_nowait((attempt, reply))
+
     def _elsewhere(self, state: _Shard, ids: list[ReplicaId]) -> list[ReplicaId]:
         targets = {one.target_id for one in state.tried}
         return [one for one in ids if one.target_id not in targets]
 
-    async def _run_attempt(self, attempt: _Attempt) -> None:
-        sub = self._sub_request(attempt)
-        replica = attempt.replica
-        replica.in_flight += 1
-        self._result.sent += 1
-        try:
-            with attempt.scope:
-                reply = await self._tools.holders.send(sub)
-                self._send.send_nowait((attempt, reply))
-        finally:
-            replica.in_flight -= 1
-
     def _sub_request(self, attempt: _Attempt) -> SubRequest:
         query = self._query
         return SubRequest(
@@ -247,7 +264,7 @@
             lost = Millis(self._tools.clock.now() - loser.sent_at)
             loser.replica.note_slow(lost)
             self._given_up.append(lost)
-            loser.scope.cancel()
+            loser.cancel()
         self._latencies.append(latency)
         for row in reply.rows:
             if self._result.rows_by_id.setdefault(str(row.get("id")), row) is not row:
@@ -284,7 +301,8 @@
         if outcome is SubOutcome.SNAPSHOT_GONE and self._may_move:
             self._ended = SnapshotGone(self._snapshot.version, self._result.sent)
         elif outcome in SAME_REPLICA_AGAIN and not reply.sent:
-            self._nursery.start_soon(self._send_again_soon, state)
+            pause = Millis(RETRY_PAUSE * state.tries)
+            self._again_at_by_shard[state.number] = Millis(self._tools.clock.now() + pause)
         else:
             self._miss(state.number, outcome)
 
@@ -303,10 +321,13 @@
         """Say whether another try is free, or paid from the budget."""
         return not reply.sent or outcome is SubOutcome.DRAINING or self._budget.spend_on_retry()
 
-    async def _send_again_soon(self, state: _Shard) -> None:
-        await sleep(Millis(RETRY_PAUSE * state.tries))
-        if state.number in self._open_by_shard and not state.attempts:
-            self._send_next(state.number, repeat=True)
+    def _send_again(self) -> None:
+        """Try the replicas again of each shard whose pause is over."""
+        now = self._tools.clock.now()
+        for shard in [s for s, at in self._again_at_by_shard.items() if now >= at]:
+            del self._again_at_by_shard[shard]
+            if shard in self._open_by_shard and not self._open_by_shard[shard].attempts:
+                self._send_next(shard, repeat=True)
 
     def _miss(self, shard: int, reason: SubOutcome) -> None:
         self._open_by_shard.pop(shard, None)
@@ -322,7 +343,7 @@
         return total > 0 and (total - lost) / total < self._query.entry.least_coverage
 
     def _stop_at(self) -> Millis:
-        """Return when to stop waiting."""
+        """Return when to stop waiting for replies."""
         query = self._query
         if query.entry.weighs is Weighing.LATENCY and self._reached_least_coverage():
             allowed = (query.give_up_at - self._started_at) * LATENCY_SHARE
@@ -333,7 +354,7 @@
         return self._result.coverage >= max(self._query.entry.least_coverage, 0.01)
 
     def _next_wake(self) -> Millis:
-        stop_at = self._stop_at()
+        stop_at = min([self._stop_at(), *self._again_at_by_shard.values()])
         delay = self._hedge_delay()
         if delay is None:
             return stop_at
@@ -363,7 +384,6 @@
             if now - state.attempts[0].sent_at < delay:
                 continue
             if not self._has_quiet_replica(state):
-                state.hedged = True
                 continue
             if not self._budget.spend_on_hedge():
                 return
@@ -373,6 +393,7 @@
 
     def _has_quiet_replica(self, state: _Shard) -> bool:
         """Say whether a target not yet tried, and without a queue, holds the shard."""
+        now = self._tools.clock.now()
         ids = self._snapshot.replicas_by_shard.get(state.number, ())
         others = self._elsewhere(state, [one for one in ids if one not in state.tried])
-        return any(self._tools.replicas.get(one).queue_hint == 0 for one in others)
+        return any(self._tools.replicas.get(one).queue(now) == 0 for one in others)
--- a/packages/firtrestle/firtrestle/holders.py
+++ b/packages/firtrestle/firtrestle/holders.py
@@ -12,10 +12,10 @@
 from firtrestle.events import EventKind, EventLog
 from firtrestle.http_clients import HttpFailure, HttpReply
 from firtrestle.lanes import Lane, keep_warm
-from firtrestle.members import Member, Members
+from firtrestle.members import Members
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
-from firtrestle.peers import PeerFailure
+from firtrestle.peers import Cancellable, Deliver, PeerFailure
 from firtrestle.rendezvous import owner
 from firtrestle.settings import TargetSettings
 from firtrestle.spreads import Item, SpreadMap
@@ -26,6 +26,18 @@
 WATCH_PAUSE = Millis(100)
 
 
+class _Finished:
+    """Stand for a call that is over."""
+
+    finished = True
+
+    def cancel(self) -> None:
+        return
+
+
+FINISHED = _Finished()
+
+
 @dataclass(slots=True)
 class _Held:
     """Hold the lane of one held target and the scope of its tasks."""
@@ -96,29 +108,55 @@
         return self._holder_by_target[target_id]
 
     async def send(self, sub: SubRequest) -> SubReply:
-        """Run a sub-request here or through its target's holder."""
+        """Run a sub-request and wait for its reply, within its budget."""
+        replies: list[SubReply] = []
+        replied = trio.Event()
+
+        def deliver(reply: SubReply) -> None:
+            replies.append(reply)
+            replied.set()
+
+        call = self.start(sub, deliver)
+        try:
+            with move_on_after(Millis(sub.budget_ms)):
+                await replied.wait()
+        finally:
+            if not replies:
+                call.cancel()
+        return replies[0] if replies else SubReply(SubOutcome.DEADLINE, sent=True)
+
+    def start(self, sub: SubRequest, deliver: Deliver) -> Cancellable:
+        """Start a sub-request here or at its target's holder."""
         holder_id = self.holder_of(sub.target_id)
         if holder_id == self._members.me.id:
-            return await self.run_here(sub)
+            return self.start_here(sub, deliver)
         holder = self._members.by_id.get(holder_id or "")
         if holder is None:
-            return SubReply(SubOutcome.UNREACHABLE, reason="no holder is known")
-        return await self._relay(holder, sub)
+            deliver(SubReply(SubOutcome.UNREACHABLE, reason="no holder is known"))
+            return FINISHED
+
+        def on_answer(answer: SubReply | PeerFailure) -> None:
+            deliver(_relayed(answer))
 
-    async def run_here(self, sub: SubRequest) -> SubReply:
-        """Run a sub-request on a target held here, for any daemon's front."""
+        return self._members.start_call(holder, sub, on_answer)
+
+    def start_here(self, sub: SubRequest, deliver: Deliver) -> Cancellable:
+        """Start a sub-request on a target held here, for any daemon's front."""
         held = self._held_by_id.get(sub.target_id)
         if held is None:
-            return SubReply(SubOutcome.NOT_HOLDER, reason="the target is held elsewhere")
+            deliver(SubReply(SubOutcome.NOT_HOLDER, reason="the target is held elsewhere"))
+            return FINISHED
         vm = self.vm_by_id.get(sub.target_id)
         if vm is None or vm.state is VmState.LEAVING:
-            return SubReply(SubOutcome.DRAINING, reason="the target is leaving")
-        reply = await held.lane.run(sub)
-        if reply.outcome == SubOutcome.SNAPSHOT_GONE:
-            held.probe_now.set()
-        if reply.outcome in (SubOutcome.DRAINING, SubOutcome.UNREACHABLE, SubOutcome.DIED):
-            self._note_trouble(held, SubOutcome(reply.outcome))
-        return reply
+            deliver(SubReply(SubOutcome.DRAINING, reason="the target is leaving"))
+            return FINISHED
+
+        def on_reply(reply: SubReply) -> None:
+            if reply.outcome != SubOutcome.OK:
+                self._note_trouble(held, SubOutcome(reply.outcome))
+            deliver(reply)
+
+        return held.lane.start(sub, on_reply)
 
     async def run(self) -> None:
         """Follow changes of the fleet, for ever."""
@@ -130,14 +168,6 @@
                 self._rehold()
             await sleep(WATCH_PAUSE)
 
-    async def _relay(self, holder: Member, sub: SubRequest) -> SubReply:
-        answer = await self._members.call_for(holder, sub, Millis(sub.budget_ms))
-        if isinstance(answer, SubReply):
-            return answer
-        if isinstance(answer, PeerFailure) and not answer.sent:
-            return SubReply(SubOutcome.UNREACHABLE, reason=answer.reason)
-        return SubReply(SubOutcome.HOLDER_LOST, sent=True, reason="the holder was lost")
-
     def _rank_first(self, target_id: str) -> str | None:
         vm = self.vm_by_id.get(target_id)
         return owner(target_id, self._members.live_ids(vm.data_centre if vm else None))
@@ -193,14 +223,17 @@
         self._publish(report)
 
     def _note_trouble(self, held: _Held, outcome: SubOutcome) -> None:
-        if outcome is SubOutcome.DRAINING:
+        if outcome is SubOutcome.SNAPSHOT_GONE:
+            held.probe_now.set()
+        elif outcome is SubOutcome.DRAINING:
             self._report_state(held, TargetState.DRAINING)
         elif outcome is SubOutcome.UNREACHABLE:
             held.failed_probes += 1
             if held.failed_probes >= PROBES_UNTIL_DOWN:
                 self._report_state(held, TargetState.DOWN)
-        else:
+        elif outcome is SubOutcome.DIED:
             self._events.add(EventKind.TARGET_DIED, target=held.lane.vm.id)
+            held.probe_now.set()
 
     def _report_state(self, held: _Held, state: TargetState) -> None:
         report = self.report_by_target.get(held.lane.vm.id)
@@ -242,5 +275,13 @@
         return report
 
 
+def _relayed(answer: SubReply | PeerFailure) -> SubReply:
+    if isinstance(answer, SubReply):
+        return answer
+    if isinstance(answer, PeerFailure) and not answer.sent:
+        return SubReply(SubOutcome.UNREACHABLE, reason=answer.reason)
+    return SubReply(SubOutcome.HOLDER_LOST, sent=True, reason="the holder was lost")
+
+
 def _is_report(key: str, stamp: int, value: object) -> bool:
     return not isinstance(read_report(key.removeprefix(REPORT_PREFIX), value), str)
--- a/packages/firtrestle/firtrestle/lanes.py
+++ b/packages/firtrestle/firtrestle/lanes.py
@@ -6,7 +6,8 @@
 import itertools
 import json
 from collections import deque
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import trio
@@ -23,6 +24,8 @@
 CONNECT_TIMEOUT = Millis(1_000)
 DEADLINE_HEADER = "Request-Timeout-Ms"
 
+Deliver = Callable[[SubReply], None]
+
 OUTCOME_BY_STATUS = {
     409: SubOutcome.SNAPSHOT_GONE,
     429: SubOutcome.SHED,
@@ -31,20 +34,28 @@
 }
 
 
-@dataclass(slots=True)
-class _Call:
-    """Hold one sub-request from its arrival to its reply."""
+@dataclass(slots=True, eq=False)
+class LaneCall:
+    """Hold one sub-request from its arrival to its reply, which is delivered once."""
 
+    lane: Lane
     sub: SubRequest
     give_up_at: Millis
-    done: trio.Event = field(default_factory=trio.Event)
-    reply: SubReply | None = None
+    deliver: Deliver
     started: bool = False
+    finished: bool = False
 
     def finish(self, reply: SubReply) -> None:
-        if self.reply is None:
-            self.reply = reply
-            self.done.set()
+        """Deliver the reply, unless the call is finished or cancelled."""
+        if not self.finished:
+            self.finished = True
+            self.deliver(reply)
+
+    def cancel(self) -> None:
+        """Stop a call that nobody waits for; its slot stays taken until the target replied."""
+        if not self.finished:
+            self.finished = True
+            self.lane.note_cancelled(self)
 
 
 class Lane:
@@ -57,12 +68,11 @@
         self.report: TargetReport | None = None
         self.in_flight_by_searcher: dict[str, int] = {}
         self.open_connections = 0
-        self.deaths = 0
         self._settings = settings
         self._clock = clock
         self._nursery = nursery
         self._idle: list[HttpConnection] = []
-        self._queue: list[tuple[int, int, _Call]] = []
+        self._queue: list[tuple[int, int, LaneCall]] = []
         self._order = itertools.count()
         self._service_times: deque[Millis] = deque(maxlen=SERVICE_SAMPLES)
         self._closed = False
@@ -79,24 +89,21 @@
         """Return the sub-requests that wait or run."""
         return len(self._queue) + sum(self.in_flight_by_searcher.values())
 
-    async def run(self, sub: SubRequest) -> SubReply:
-        """Run a sub-request; a cancelled caller cancels it at the target."""
-        call = _Call(sub, Millis(self._clock.now() + sub.budget_ms))
+    def start(self, sub: SubRequest, deliver: Deliver) -> LaneCall:
+        """Queue a sub-request; its reply is delivered once, unless the call is cancelled."""
+        call = LaneCall(self, sub, Millis(self._clock.now() + sub.budget_ms), deliver)
         refusal = self._refusal(sub)
         if refusal is not None:
-            return refusal
+            call.finish(refusal)
+            return call
         heapq.heappush(self._queue, (0 if sub.urgent else 1, next(self._order), call))
         self._dispatch()
-        try:
-            with move_on_after(Millis(sub.budget_ms)):
-                await call.done.wait()
-        finally:
-            if call.reply is None:
-                call.finish(_empty(sub, SubOutcome.DEADLINE, sent=call.started))
-                if call.started and not sub.key:
-                    self._nursery.start_soon(self._cancel_at_target, sub)
-        call.reply.queue = len(self._queue)
-        return call.reply
+        return call
+
+    def note_cancelled(self, call: LaneCall) -> None:
+        """Ask the target to stop a search that it runs already."""
+        if call.started and not call.sub.key:
+            self._nursery.start_soon(self._cancel_at_target, call.sub)
 
     def close(self) -> None:
         """Refuse what waits and close what is idle; what runs goes on."""
@@ -154,68 +161,87 @@
 
     def _dispatch(self) -> None:
         """Start each waiting call whose searcher has a free slot."""
-        held_back: list[tuple[int, int, _Call]] = []
-        while self._queue and self._may_send():
+        while (call := self._take_next()) is not None:
+            self._nursery.start_soon(self._serve, call)
+
+    def _take_next(self) -> LaneCall | None:
+        """Take the first waiting call that may run now, and its slot."""
+        if sum(self.in_flight_by_searcher.values()) >= self.connection_share:
+            return None
+        held_back: list[tuple[int, int, LaneCall]] = []
+        taken: LaneCall | None = None
+        while self._queue and taken is None:
             entry = heapq.heappop(self._queue)
             call = entry[2]
-            if call.reply is not None:
+            if call.finished or self._is_late(call):
                 continue
             if self._slot_is_free(call.sub.searcher):
-                self._start(call)
+                taken = call
             else:
                 held_back.append(entry)
         for entry in held_back:
             heapq.heappush(self._queue, entry)
+        if taken is not None:
+            name = taken.sub.searcher
+            self.in_flight_by_searcher[name] = self.in_flight_by_searcher.get(name, 0) + 1
+        return taken
 
-    def _may_send(self) -> bool:
-        return sum(self.in_flight_by_searcher.values()) < self.connection_share
+    def _is_late(self, call: LaneCall) -> bool:
+        if self._clock.now() < call.give_up_at:
+            return False
+        call.finish(_empty(call.sub, SubOutcome.DEADLINE))
+        return True
 
     def _slot_is_free(self, name: str) -> bool:
         searcher = self.report.by_searcher.get(name) if self.report else None
         slots = searcher.slots if searcher is not None else 1
         return self.in_flight_by_searcher.get(name, 0) < slots
 
-    def _start(self, call: _Call) -> None:
-        name = call.sub.searcher
-        self.in_flight_by_searcher[name] = self.in_flight_by_searcher.get(name, 0) + 1
-        self._nursery.start_soon(self._serve, call)
+    async def _serve(self, first: LaneCall) -> None:
+        """Run a call and then those that wait, on one connection after the other."""
+        call: LaneCall | None = first
+        while call is not None:
+            try:
+                await self._serve_one(call)
+            finally:
+                self.in_flight_by_searcher[call.sub.searcher] -= 1
+            call = self._take_next()
 
-    async def _serve(self, call: _Call) -> None:
+    async def _serve_one(self, call: LaneCall) -> None:
         started_at = self._clock.now()
-        try:
-            if started_at >= call.give_up_at:
-                call.finish(_empty(call.sub, SubOutcome.DEADLINE))
-                return
-            connection = await self._connection()
-            if isinstance(connection, HttpFailure):
-                call.finish(_empty(call.sub, SubOutcome.UNREACHABLE, reason=connection.reason))
-                return
-            await self._exchange(call, connection)
-            self._service_times.append(Millis(self._clock.now() - started_at))
-        finally:
-            self.in_flight_by_searcher[call.sub.searcher] -= 1
-            self._dispatch()
+        connection = await self._connection()
+        if isinstance(connection, HttpFailure):
+            call.finish(self._reply(call, SubOutcome.UNREACHABLE, connection.reason))
+            return
+        await self._exchange(call, connection)
+        self._service_times.append(Millis(self._clock.now() - started_at))
 
-    async def _exchange(self, call: _Call, connection: HttpConnection) -> None:
+    async def _exchange(self, call: LaneCall, connection: HttpConnection) -> None:
         """Send the call and hold its slot until the target replied or confirmed a cancel."""
         budget = Millis(call.give_up_at - self._clock.now())
-        if call.reply is not None or budget <= 0:
-            call.finish(_empty(call.sub, SubOutcome.DEADLINE))
+        if call.finished or budget <= 0:
+            call.finish(self._reply(call, SubOutcome.DEADLINE))
             self._give_back(connection)
             return
         call.started = True
         try:
             with move_on_after(Millis(budget + self._settings.cancel_grace_ms)):
-                reply = await self._send(call.sub, connection, budget)
-                if call.reply is None and _is_death(reply):
-                    self.deaths += 1
-                call.finish(_read_reply(call.sub, reply))
-            call.finish(_empty(call.sub, SubOutcome.DEADLINE, sent=True))
+                answer = _read_reply(call.sub, await self._send(call.sub, connection, budget))
+                answer.queue = len(self._queue)
+                if answer.outcome == SubOutcome.BAD_REPLY:
+                    connection.usable = False
+                call.finish(answer)
+            call.finish(self._reply(call, SubOutcome.DEADLINE, sent=True))
         finally:
-            if call.reply is not None and call.reply.outcome == SubOutcome.BAD_REPLY:
-                connection.usable = False
             self._give_back(connection)
 
+    def _reply(
+        self, call: LaneCall, outcome: SubOutcome, reason: str = "", sent: bool = False
+    ) -> SubReply:
+        reply = _empty(call.sub, outcome, reason, sent)
+        reply.queue = len(self._queue)
+        return reply
+
     async def _send(
         self, sub: SubRequest, connection: HttpConnection, budget: Millis
     ) -> HttpReply | HttpFailure:
@@ -292,10 +318,6 @@
     )
 
 
-def _is_death(reply: HttpReply | HttpFailure) -> bool:
-    return isinstance(reply, HttpFailure) and reply.sent
-
-
 def _read_reply(sub: SubRequest, reply: HttpReply | HttpFailure) -> SubReply:
     if isinstance(reply, HttpFailure):
         outcome = SubOutcome.DIED if reply.sent else SubOutcome.UNREACHABLE
--- a/packages/firtrestle/firtrestle/members.py
+++ b/packages/firtrestle/firtrestle/members.py
@@ -13,7 +13,7 @@
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.events import EventKind, EventLog
 from firtrestle.messages import Done, Ping, PingFor, Pong
-from firtrestle.peers import PeerAddress, PeerClients, PeerFailure
+from firtrestle.peers import Cancellable, Deliver, PeerAddress, PeerClients, PeerFailure
 from firtrestle.settings import DaemonSettings, PeerSettings
 from firtrestle.spreads import Item, Spreader
 from firtrestle.vm_lists import Vm, VmList
@@ -146,12 +146,13 @@
 
     async def call(self, member: Member, value: Any) -> Any | PeerFailure:
         """Call a member with the ordinary timeout."""
-        return await self.call_for(member, value, Millis(self._settings.call_timeout_ms))
-
-    async def call_for(self, member: Member, value: Any, timeout: Millis) -> Any | PeerFailure:
-        """Call a member within a given time."""
+        timeout = Millis(self._settings.call_timeout_ms)
         return await self._clients.get(member.address).call(value, timeout)
 
+    def start_call(self, member: Member, value: Any, deliver: Deliver) -> Cancellable:
+        """Start a call to a member."""
+        return self._clients.get(member.address).start(value, deliver)
+
     async def run(self) -> None:
         """Ping one daemon after the other, for ever."""
         async with trio.open_nursery() as nursery:
--- a/packages/firtrestle/firtrestle/pauses.py
+++ b/packages/firtrestle/firtrestle/pauses.py
@@ -40,14 +40,15 @@
 
     async def settle(self) -> None:
         """Return once the views are no older than the last pause."""
-        if not self._was_paused():
+        if not self.was_paused():
             self._ticked_at = self._clock.now()
             return
         async with self._refreshing:
-            if self._was_paused():
+            if self.was_paused():
                 await self._recover()
 
-    def _was_paused(self) -> bool:
+    def was_paused(self) -> bool:
+        """Say whether the process was paused and has not refreshed its views yet."""
         return self._clock.now() - self._ticked_at > self._longest
 
     async def _recover(self) -> None:
--- a/packages/firtrestle/firtrestle/peer_calls.py
+++ b/packages/firtrestle/firtrestle/peer_calls.py
@@ -6,10 +6,23 @@
 from typing import Any
 
 from firtrestle.claims import Claims, KeyTable
-from firtrestle.holders import Holders
+from firtrestle.holders import FINISHED, Holders
 from firtrestle.members import Members
-from firtrestle.messages import AskKey, Claim, Done, Join, Ping, PingFor, Pull, Settle, SubRequest
+from firtrestle.messages import (
+    AskKey,
+    Claim,
+    Done,
+    Join,
+    Ping,
+    PingFor,
+    Pull,
+    Settle,
+    SubReply,
+    SubRequest,
+)
+from firtrestle.outcomes import SubOutcome
 from firtrestle.pauses import PauseGuard
+from firtrestle.peers import Cancellable, Deliver
 from firtrestle.spreads import Spreader
 from firtrestle.voters import Voters
 
@@ -77,7 +90,9 @@
     async def _(self, value: AskKey) -> Any:
         return self._claims.tell(value)
 
-    @_answer.register
-    async def _(self, value: SubRequest) -> Any:
-        await self._pauses.settle()
-        return await self._holders.run_here(value)
+    def start_sub(self, sub: SubRequest, deliver: Deliver) -> Cancellable:
+        """Run a sub-request for another daemon's front."""
+        if self._pauses.was_paused():
+            deliver(SubReply(SubOutcome.NOT_HOLDER, reason="the holder was paused"))
+            return FINISHED
+        return self._holders.start_here(sub, deliver)
--- a/packages/firtrestle/firtrestle/peers.py
+++ b/packages/firtrestle/firtrestle/peers.py
@@ -5,22 +5,39 @@
 import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import msgpack
 import trio
 from loguru import logger
 
 from firtrestle.clocks import Millis, move_on_after
-from firtrestle.messages import BadFrame, Cancel, Done, decode, encode, new_unpacker
+from firtrestle.messages import (
+    BadFrame,
+    Cancel,
+    Done,
+    SubRequest,
+    decode,
+    encode,
+    new_unpacker,
+)
 
 CHUNK_BYTES = 65_536
 MAX_QUEUED_FRAMES = 10_000
 MAX_CALLS_SERVED = 10_000
+CONNECT_TIMEOUT = Millis(1_000)
 
+Deliver = Callable[[Any], None]
 ServeCall = Callable[[Any], Awaitable[Any]]
 
 
+class Cancellable(Protocol):
+    """Stop a call that nobody waits for."""
+
+    def cancel(self) -> None:
+        """Stop the call; it delivers nothing from now on."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
     """Hold where a daemon takes calls."""
@@ -43,7 +60,7 @@
     def __init__(self, address: PeerAddress, nursery: trio.Nursery) -> None:
         self.address = address
         self._nursery = nursery
-        self._waiting_by_id: dict[int, tuple[trio.Event, list[Any]]] = {}
+        self._deliver_by_id: dict[int, Deliver] = {}
         self._ids = itertools.count(1)
         self._outgoing: trio.MemorySendChannel[bytes] | None = None
         self._opening = trio.Lock()
@@ -52,44 +69,81 @@
 
     async def call(self, value: Any, timeout: Millis) -> Any | PeerFailure:
         """Send a message and return the answer; a cancelled caller cancels the call."""
-        with move_on_after(timeout):
-            return await self._call(value)
-        return PeerFailure(True, f"{self.address} took too long")
+        answers: list[Any] = []
+        answered = trio.Event()
 
-    async def _call(self, value: Any) -> Any | PeerFailure:
-        outgoing = await self._channel()
-        if isinstance(outgoing, PeerFailure):
-            return outgoing
-        call_id = next(self._ids)
-        waiting: tuple[trio.Event, list[Any]] = (trio.Event(), [])
-        self._waiting_by_id[call_id] = waiting
+        def deliver(answer: Any) -> None:
+            answers.append(answer)
+            answered.set()
+
+        started = self.start(value, deliver)
         try:
-            outgoing.send_nowait(encode(call_id, value))
-            await waiting[0].wait()
-            return waiting[1][0]
-        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
-            return PeerFailure(False, f"the stream to {self.address} is full or broken")
-        except trio.Cancelled:
-            self._send_quietly(encode(call_id, Cancel(call_id)))
-            raise
+            with move_on_after(timeout):
+                await answered.wait()
         finally:
-            self._waiting_by_id.pop(call_id, None)
+            if not answers:
+                started.cancel()
+        return answers[0] if answers else PeerFailure(True, f"{self.address} took too long")
+
+    def start(self, value: Any, deliver: Deliver) -> PeerCall:
+        """Send a message; its answer, or a failure, is delivered once unless cancelled."""
+        call = PeerCall(self, next(self._ids))
+        self._deliver_by_id[call.id] = deliver
+        frame = encode(call.id, value)
+        if self._outgoing is None:
+            self._nursery.start_soon(self._open_and_send, call.id, frame)
+        elif not self._send(self._outgoing, frame):
+            self._fail(call.id, PeerFailure(False, f"the stream to {self.address} is full"))
+        return call
+
+    def cancel(self, call_id: int) -> None:
+        """Forget a call, and tell the peer to stop it."""
+        if self._deliver_by_id.pop(call_id, None) is not None and self._outgoing is not None:
+            self._send(self._outgoing, encode(call_id, Cancel(call_id)))
+
+    async def _open_and_send(self, call_id: int, frame: bytes) -> None:
+        outgoing = await self._channel()
+        if call_id not in self._deliver_by_id:
+            return
+        if isinstance(outgoing, PeerFailure):
+            self._fail(call_id, outgoing)
+        elif not self._send(outgoing, frame):
+            self._fail(call_id, PeerFailure(False, f"the stream to {self.address} broke"))
 
     async def _channel(self) -> trio.MemorySendChannel[bytes] | PeerFailure:
         async with self._opening:
             if self._outgoing is not None:
                 return self._outgoing
             try:
-                stream = await trio.open_tcp_stream(
-                    self.address.host, self.address.port, happy_eyeballs_delay=None
-                )
+                stream = await self._connect()
             except OSError as error:
                 return PeerFailure(False, f"connecting to {self.address} failed: {error}")
+            if stream is None:
+                return PeerFailure(False, f"connecting to {self.address} took too long")
             send, receive = trio.open_memory_channel(MAX_QUEUED_FRAMES)
             self._outgoing = send
             self._nursery.start_soon(self._run, stream, send, receive)
             return send
 
+    async def _connect(self) -> trio.SocketStream | None:
+        with move_on_after(CONNECT_TIMEOUT):
+            return await trio.open_tcp_stream(
+                self.address.host, self.address.port, happy_eyeballs_delay=None
+            )
+        return None
+
+    def _send(self, outgoing: trio.MemorySendChannel[bytes], frame: bytes) -> bool:
+        try:
+            outgoing.send_nowait(frame)
+        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return True
+
+    def _fail(self, call_id: int, failure: PeerFailure) -> None:
+        deliver = self._deliver_by_id.pop(call_id, None)
+        if deliver is not None:
+            deliver(failure)
+
     async def _run(self, stream: trio.SocketStream, send: Any, receive: Any) -> None:
         try:
             async with trio.open_nursery() as nursery:
@@ -117,24 +171,25 @@
         while data := await stream.receive_some(CHUNK_BYTES):
             self.bytes_received += len(data)
             for call_id, value in _unpack(unpacker, data):
-                waiting = self._waiting_by_id.get(call_id)
-                if waiting is not None:
-                    waiting[1].append(value)
-                    waiting[0].set()
+                deliver = self._deliver_by_id.pop(call_id, None)
+                if deliver is not None:
+                    deliver(value)
 
     def _fail_waiting(self) -> None:
-        failure = PeerFailure(True, f"the stream to {self.address} ended")
-        for event, values in self._waiting_by_id.values():
-            values.append(failure)
-            event.set()
+        for call_id in list(self._deliver_by_id):
+            self._fail(call_id, PeerFailure(True, f"the stream to {self.address} ended"))
 
-    def _send_quietly(self, frame: bytes) -> None:
-        if self._outgoing is None:
-            return
-        try:
-            self._outgoing.send_nowait(frame)
-        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+
+@dataclass(frozen=True, slots=True)
+class PeerCall:
+    """Hold one call to a peer."""
+
+    client: PeerClient
+    id: int
+
+    def cancel(self) -> None:
+        """Stop the call; it delivers nothing from now on."""
+        self.client.cancel(self.id)
 
 
 class PeerClients:
@@ -151,59 +206,85 @@
         return self.by_address[address]
 
 
+StartSub = Callable[[SubRequest, Deliver], Cancellable]
+
+
 class PeerServer:
     """Serve the calls of other daemons, one task for each stream."""
 
-    def __init__(self, serve_call: ServeCall) -> None:
+    def __init__(self, serve_call: ServeCall, start_sub: StartSub) -> None:
         self._serve_call = serve_call
+        self._start_sub = start_sub
         self.frames_refused = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one stream until it ends or breaks the protocol."""
-        scope_by_id: dict[int, trio.CancelScope] = {}
+        """Serve one stream until it ends or breaks the protocol, then stop its calls."""
+        call_by_id: dict[int, Cancellable] = {}
         send, receive = trio.open_memory_channel(MAX_QUEUED_FRAMES)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._write, stream, receive)
-                await self._read(stream, nursery, scope_by_id, send)
+                await self._read(stream, nursery, call_by_id, send)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        except* (BadFrame, msgpack.UnpackException, ValueError) as errors:
+        except* BadFrame as errors:
             self.frames_refused += 1
             logger.warning("a peer broke the protocol: {}", errors.exceptions[0])
         finally:
+            for call in list(call_by_id.values()):
+                call.cancel()
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
-    async def _read(self, stream: Any, nursery: trio.Nursery, scopes: dict, send: Any) -> None:
+    async def _read(
+        self,
+        stream: trio.SocketStream,
+        nursery: trio.Nursery,
+        call_by_id: dict[int, Cancellable],
+        send: Any,
+    ) -> None:
         unpacker = new_unpacker()
         while data := await stream.receive_some(CHUNK_BYTES):
             self.bytes_received += len(data)
             for call_id, value in _unpack(unpacker, data):
-                if isinstance(value, Cancel):
-                    scope = scopes.get(value.call_id)
-                    if scope is not None:
-                        scope.cancel()
-                elif len(scopes) >= MAX_CALLS_SERVED:
-                    _answer(send, call_id, Done(False, "too many calls"))
-                else:
-                    scope = trio.CancelScope()
-                    scopes[call_id] = scope
-                    nursery.start_soon(self._serve_one, call_id, value, scopes, send)
-
-    async def _serve_one(self, call_id: int, value: Any, scopes: dict, send: Any) -> None:
-        try:
-            with scopes[call_id]:
-                answer = await self._serve_call(value)
-                _answer(send, call_id, answer)
-        except Exception:
-            logger.exception("serving {} failed", type(value).__name__)
-            _answer(send, call_id, Done(False, "failed"))
-        finally:
-            scopes.pop(call_id, None)
+                self._start(call_id, value, nursery, call_by_id, send)
+
+    def _start(
+        self,
+        call_id: int,
+        value: Any,
+        nursery: trio.Nursery,
+        call_by_id: dict[int, Cancellable],
+        send: Any,
+    ) -> None:
+        def deliver(answer: Any) -> None:
+            call_by_id.pop(call_id, None)
+            _answer(send, call_id, answer)
+
+        if isinstance(value, Cancel):
+            call = call_by_id.pop(value.call_id, None)
+            if call is not None:
+                call.cancel()
+        elif len(call_by_id) >= MAX_CALLS_SERVED:
+            _answer(send, call_id, Done(False, "too many calls"))
+        elif isinstance(value, SubRequest):
+            call = self._start_sub(value, deliver)
+            if not getattr(call, "finished", False):
+                call_by_id[call_id] = call
+        else:
+            call_by_id[call_id] = scope = trio.CancelScope()
+            nursery.start_soon(self._serve_one, value, scope, deliver)
+
+    async def _serve_one(self, value: Any, scope: trio.CancelScope, deliver: Deliver) -> None:
+        with scope:
+            try:
+                deliver(await self._serve_call(value))
+            except Exception:
+                logger.exception("serving {} failed", type(value).__name__)
+                deliver(Done(False, "failed"))
 
     async def _write(self, stream: trio.SocketStream, receive: Any) -> None:
         async for frame in receive:
--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -40,7 +40,7 @@
         return min(fit or replicas, key=self._rank)
 
     def _rank(self, replica: Replica) -> tuple[float, float]:
-        load = 1 + replica.in_flight + replica.queue_hint * HINT_WEIGHT
+        load = 1 + replica.in_flight + replica.queue(self._clock.now()) * HINT_WEIGHT
         latency = replica.latency if replica.samples >= MIN_SAMPLES else TYPICAL_LATENCY
         return load * max(latency, 0.1) * self._warm_up_factor(replica), self._rng.random()
 
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -13,6 +13,7 @@
 LOOKBACK = 16  # outcomes that the failure slack is averaged over
 FAILURE_SHARE = 0.5  # of the lookback, above which a replica is passed over
 MIN_OUTCOMES = 4
+HINT_LIFE = Millis(100)
 FIRST_EJECTION = Millis(500)
 LONGEST_EJECTION = Millis(10_000)
 
@@ -27,6 +28,7 @@
     seen_at: Millis
     in_flight: int = 0
     queue_hint: int = 0
+    hinted_at: Millis = Millis(0)
     latency: Millis = Millis(0)
     samples: int = 0
     ejected_until: Millis = Millis(0)
@@ -36,6 +38,7 @@
     def note(self, outcome: SubOutcome, latency: Millis, queue: int, now: Millis) -> None:
         """Take in how one sub-request ended."""
         self.queue_hint = queue
+        self.hinted_at = now
         if outcome is SubOutcome.OK:
             self._take_latency(latency)
         if outcome is SubOutcome.UNREACHABLE:
@@ -47,6 +50,10 @@
             self._failed.clear()
             self._eject(now)
 
+    def queue(self, now: Millis) -> int:
+        """Return the queue that the holder reported a moment ago, 0 when that is too long ago."""
+        return self.queue_hint if now - self.hinted_at < HINT_LIFE else 0
+
     def note_slow(self, latency: Millis) -> None:
         """Take in that a reply given up on had taken at least this long."""
         if latency > self.latency:
