Prove the promises over real processes: kills, freezes, index changes, stops, races, poison

Change: rig tests that replay each trace against all rules; a balancer stand-in; draining daemons close connections after their answers and keep idle ones until the balancer has seen them not ready. Before: a daemon that stopped in order cut 2 of 160 requests (idle connection closed while in use). After: 0 of 160.

--- a/bench/runs.py
+++ b/bench/runs.py
@@ -9,6 +9,7 @@
 from firtrestle.clocks import Millis, sleep
 from firtrestle.events import Event, EventKind
 from firtrestle.traces import replay
+from firtrestle_standins.balancers import Balancer
 from firtrestle_standins.callers import Callers, Plan, Tally
 from firtrestle_standins.records import Record
 from firtrestle_standins.rigs import Rig
@@ -79,10 +80,12 @@
     await rig.publish_catalogue(scenario.catalogue())
     await rig.start_daemons(DAEMONS)
     await rig.wait_until_ready()
+    balancer = Balancer(rig.daemon_addresses)
     record = Record("callers", rig.folder / "callers.jsonl")
-    callers = Callers(rig.daemon_addresses, rig.versions, record, seed)
+    callers = Callers(balancer.ready, rig.versions, record, seed)
     async with trio.open_nursery() as collecting:
         collecting.start_soon(rig.keep_collecting)
+        collecting.start_soon(balancer.run)
         async with trio.open_nursery() as work:
             work.start_soon(scenario.script, rig)
             if scenario.poison:
--- a/packages/firtrestle-standins/firtrestle_standins/rigs.py
+++ b/packages/firtrestle-standins/firtrestle_standins/rigs.py
@@ -167,6 +167,7 @@
                 "list_lag_ms": 300,
                 "retry_ms": 500,
             },
+            "front": {"drain_ms": 1_500},
         }
         for section, values in self.daemon_settings.items():
             settings[section] = settings.get(section, {}) | values
--- /dev/null
+++ b/packages/firtrestle-standins/tests/test_rigs.py
@@ -0,0 +1,264 @@
+"""Prove what must always hold, over real processes that are killed, frozen, cut and misled."""
+
+import itertools
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.events import EventKind
+from firtrestle.http_clients import HttpReply, fetch
+from firtrestle.keys import new_key
+from firtrestle.traces import replay
+from firtrestle_standins.balancers import Balancer
+from firtrestle_standins.callers import Callers, Plan, search_plans
+from firtrestle_standins.records import Record
+from firtrestle_standins.rigs import Rig
+from firtrestle_standins.shapes import Shape
+
+DESK = Shape("desk", 4, 1, 3, 30, 2.0, shards=4, documents=400)
+LEDGER = Shape("ledger", 2, 1, 3, 30, 2.0, shards=2, documents=0)
+CATALOGUE = """
+entries:
+  desk: {owner: o, collection: desk, timeout_ms: 3000, extra_load: 0.1, canary: always}
+  ledger: {owner: o, collection: ledger, kind: submit, timeout_ms: 1500}
+"""
+TIMEOUT = Millis(3_000)
+RATE = 40.0
+SEED = 11
+
+
+@asynccontextmanager
+async def fleet(
+    daemons: int = 3, shapes: tuple[Shape, ...] = (DESK,), **faults
+) -> AsyncIterator[tuple[Rig, Callers]]:
+    rig = Rig(seed=SEED)
+    try:
+        await rig.start_platform()
+        for shape in shapes:
+            await rig.start_targets(shape, faults)
+        await rig.publish_catalogue(CATALOGUE)
+        await rig.start_daemons(daemons, data_centres=3)
+        await rig.wait_until_ready()
+        balancer = Balancer(rig.daemon_addresses)
+        record = Record("callers", rig.folder / "callers.jsonl")
+        callers = Callers(balancer.ready, rig.versions, record, SEED)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.keep_collecting)
+            nursery.start_soon(balancer.run)
+            yield rig, callers
+            nursery.cancel_scope.cancel()
+    finally:
+        rig.close()
+
+
+async def run_beside(callers: Callers, count: int, script, rig: Rig) -> None:
+    plans = search_plans(count, "/collections/desk", "desk", TIMEOUT, SEED)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(script, rig)
+        nursery.start_soon(callers.run, plans, RATE)
+    await rig.collect_events()
+
+
+def broken(rig: Rig) -> dict[str, str]:
+    return {
+        name: f"{len(found)}: {found[0].request_id} {found[0].message}"
+        for name, found in replay(rig.trace()).items()
+        if found
+    }
+
+
+async def test_a_killed_target_and_a_killed_daemon_lose_and_double_nothing():
+    async def script(rig: Rig) -> None:
+        await sleep(Millis(700))
+        rig.kill("desk-1")
+        await sleep(Millis(700))
+        rig.kill("d2")
+
+    async with fleet() as (rig, callers):
+        await run_beside(callers, 100, script, rig)
+        tally = callers.tally_by_group["all"]
+        assert tally.answered == 100
+        assert broken(rig) == {}
+
+
+async def test_index_changes_and_garbled_replies_never_mix_or_misstate():
+    async def script(rig: Rig) -> None:
+        for number, shards in ((2, 4), (3, 7), (4, 3)):
+            await sleep(Millis(700))
+            await rig.add_version(DESK, DESK.version(number, shards, more=40 * number))
+            await sleep(Millis(300))
+            await rig.drop_version(DESK, number - 1)
+
+    garbled = {"cross_share": 0.05, "truncate_share": 0.05, "double_rows_share": 0.1}
+    async with fleet(**garbled) as (rig, callers):
+        await run_beside(callers, 140, script, rig)
+        assert callers.tally_by_group["all"].answered == 140
+        assert broken(rig) == {}
+
+
+async def test_a_leaving_target_gets_nothing_new_also_from_a_daemon_that_slept():
+    async def script(rig: Rig) -> None:
+        await sleep(Millis(500))
+        rig.freeze("d1")
+        await rig.control("desk-0", draining=True)
+        await sleep(Millis(4_500))
+        rig.thaw("d1")
+
+    async with fleet() as (rig, callers):
+        await run_beside(callers, 260, script, rig)
+        assert broken(rig) == {}
+        kinds = {event.kind for event in rig.trace()}
+        assert {EventKind.PAUSED, EventKind.TARGET_DRAINING} <= kinds
+
+
+async def test_daemons_that_stop_in_order_cut_no_request_during_a_change():
+    async def script(rig: Rig) -> None:
+        await sleep(Millis(600))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.stop, "d1")
+            nursery.start_soon(rig.stop, "d2")
+            await rig.publish_catalogue(CATALOGUE + "  more: {owner: o, collection: desk}\n")
+
+    async with fleet(4) as (rig, callers):
+        await run_beside(callers, 160, script, rig)
+        tally = callers.tally_by_group["all"]
+        assert tally.answered == 160
+        assert broken(rig) == {}
+
+
+async def test_a_key_runs_at_most_once_over_resends_kills_and_freezes():
+    async with fleet(4, (LEDGER,), lose_reply_share=0.2) as (rig, callers):
+        rng = random.Random(SEED)
+        clock = Clock()
+
+        async def resend(key: str, pauses: list[float]) -> None:
+            plan = Plan(
+                "/collections/ledger", "ledger", {"n": key}, Millis(1_500), {"Idempotency-Key": key}
+            )
+            for pause in pauses:
+                await callers.send(plan)
+                await sleep(Millis(pause))
+
+        async def disturb() -> None:
+            await sleep(Millis(500))
+            rig.freeze("d2")
+            await sleep(Millis(1_500))
+            rig.kill("d3")
+            rig.thaw("d2")
+
+        await sleep(Millis(2_500))  # keys must be younger than the daemons, by the clocks' skew
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(disturb)
+            for _ in range(60):
+                key = new_key(clock.wall(), rng.getrandbits(74))
+                pauses = [rng.uniform(0, 400) for _ in range(4)]
+                nursery.start_soon(resend, key, pauses)
+                await sleep(Millis(rng.uniform(0, 60)))
+        await rig.collect_events()
+        ran = [e for e in rig.trace() if e.kind is EventKind.TARGET_RAN]
+        assert len(ran) >= 20
+        assert broken(rig) == {}
+
+
+async def test_the_catalogue_never_reverts_and_a_wrong_one_is_never_in_force():
+    async def revisions(rig: Rig) -> set[int]:
+        return {(await rig.status(name))["revision"] for name in rig.daemons()}
+
+    async def wait_for(rig: Rig, revision: int) -> None:
+        with trio.fail_after(20):
+            while await revisions(rig) != {revision}:
+                await sleep(Millis(100))
+
+    async with fleet() as (rig, _):
+        async with trio.open_nursery() as racing:
+            racing.start_soon(rig.publish_catalogue, CATALOGUE)
+            racing.start_soon(rig.publish_catalogue, CATALOGUE)
+        await wait_for(rig, 3)
+        await rig.publish_catalogue("entries: {desk: {owner: 1}}", accepted=False)  # revision 4
+        await sleep(Millis(1_000))
+        assert await revisions(rig) == {3}
+        rejected = [(await rig.status(name))["rejected"] for name in rig.daemons()]
+        assert all(one[0] == 4 for one in rejected)
+        await rig.publish_catalogue(CATALOGUE, revision=2, accepted=False)  # the service went stale
+        rig.kill("d1")
+        rig.start_daemon("d1")
+        await sleep(Millis(3_000))
+        await wait_for(rig, 3)
+        await rig.control("platform", down=True)
+        rig.kill("d2")
+        rig.start_daemon("d2")
+        await sleep(Millis(1_500))
+        assert (await rig.status("d1"))["ready"]
+        await rig.control("platform", down=False)
+        await rig.publish_catalogue(CATALOGUE, revision=9)
+        await wait_for(rig, 9)
+        await rig.collect_events()
+        assert broken(rig) == {}
+
+
+async def test_at_most_two_targets_die_of_a_request_resent_through_every_daemon():
+    async with fleet(3, (DESK,), poison="boom") as (rig, callers):
+        body = {"modulus": 3, "remainder": 1, "poison": "boom"}
+        plan = Plan("/collections/desk", "desk", body, TIMEOUT, group="poison")
+        innocent = search_plans(60, "/collections/desk", "desk", TIMEOUT, SEED)
+
+        async def resend() -> None:
+            for _ in range(5):
+                await callers.send(plan)
+                await sleep(Millis(200))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(resend)
+            nursery.start_soon(callers.run, innocent, RATE)
+        await rig.collect_events()
+        crashed = {e.process for e in rig.trace() if e.kind is EventKind.TARGET_CRASHED}
+        assert 1 <= len(crashed) <= 2
+        refused = callers.tally_by_group["poison"].refused
+        assert refused["quarantined"] >= 4
+        assert "quarantined" not in callers.tally_by_group["all"].refused
+        assert broken(rig) == {}
+
+
+async def test_a_dead_platform_at_the_start_leaves_a_daemon_live_but_not_ready():
+    rig = Rig(seed=SEED)
+    try:
+        await rig.start_platform()
+        await rig.start_targets(DESK)
+        await rig.publish_catalogue(CATALOGUE)
+        await rig.control("platform", down=True)
+        rig._write_settings("d1", "dc1")
+        rig.start_daemon("d1")
+        address = rig.by_name["d1"].address
+        await rig._wait_for("d1", "/-/live")
+        assert (await fetch(address, "GET", "/-/ready", TIMEOUT)).status == 503
+        refused = await fetch(address, "POST", "/collections/desk", TIMEOUT)
+        assert isinstance(refused, HttpReply)
+        assert refused.json()["kind"] == "not-ready"
+        assert "retry-after" in refused.headers
+        await rig.control("platform", down=False)
+        await rig.publish_vms()
+        await rig.wait_until_ready()
+        answer = await fetch(address, "POST", "/collections/desk", TIMEOUT, b'{"modulus": 7}')
+        assert answer.json()["coverage"]["fraction"] == 1.0
+    finally:
+        rig.close()
+
+
+async def test_a_daemon_whose_port_is_taken_says_so():
+    rig = Rig(seed=SEED)
+    try:
+        await rig.start_platform()
+        await rig.start_daemons(1)
+        process = rig.by_name["d1"]
+        second = rig.spawn("again", process.address, process.command)
+        assert second.handle.wait(timeout=30) == 3
+        assert "cannot listen" in second.log.read_text()
+    finally:
+        rig.close()
+
+
+def test_plans_are_the_same_for_the_same_seed():
+    plans = (search_plans(20, "/p", "c", TIMEOUT, 5) for _ in itertools.repeat(None, 2))
+    assert next(plans) == next(plans)
--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -196,6 +196,7 @@
         self.events.add(EventKind.STOPPING)
         self.state.stopping = True
         self.members.leave()
+        self._http.close_after_answers()
         await sleep(Millis(self.settings.front.drain_ms))
         listening.cancel()
         self._http.close_idle()
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -80,6 +80,7 @@
         self.watch_callers = watch_callers
         self.open_connections = 0
         self.closing = False
+        self.idle_allowed = True
         self._idle_scopes: set[trio.CancelScope] = set()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
@@ -97,9 +98,14 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer, so that callers go elsewhere."""
+        self.closing = True
+
     def close_idle(self) -> None:
-        """Close idle connections, and each other one after its next answer."""
+        """Close idle connections too."""
         self.closing = True
+        self.idle_allowed = False
         for scope in list(self._idle_scopes):
             scope.cancel()
 
@@ -141,7 +147,7 @@
     async def _wait_for_first_byte(self) -> bool:
         if self._http.trailing_data[0]:
             return True
-        if self._server.closing:
+        if not self._server.idle_allowed:
             return False
         with move_on_after(self._bounds.idle_timeout) as scope:
             self._server._idle_scopes.add(scope)
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -50,7 +50,7 @@
     idle_timeout_ms: int = Field(60_000, ge=10, description="time a connection may idle, ms")
     max_timeout_ms: int = Field(30_000, ge=10, description="longest deadline a caller may set, ms")
     answer_reserve_ms: int = Field(5, ge=0, description="time kept to write the answer, ms")
-    drain_ms: int = Field(500, ge=0, description="time between not ready and closing, ms")
+    drain_ms: int = Field(3_000, ge=0, description="time for the balancer to see not ready, ms")
 
 
 class PolicySettings(_Section):
--- a/packages/firtrestle/tests/test_claims.py
+++ b/packages/firtrestle/tests/test_claims.py
@@ -3,7 +3,7 @@
 
 import trio
 from firtrestle.claims import Claimed, Claims, HeldElsewhere, InDoubt, KeyState, KeyTable
-from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.clocks import Clock, Millis, move_on_after, sleep
 from firtrestle.keys import new_key
 from firtrestle.messages import AskKey, Claim, Done, Join, Settle
 from firtrestle.peers import PeerAddress, PeerFailure
@@ -30,6 +30,7 @@
     """Hold daemons that call each other through a network that loses, delays and cuts."""
 
     rng: random.Random
+    nursery: trio.Nursery
     clock: Clock = field(default_factory=SharedClock)
     by_id: dict[str, "Node"] = field(default_factory=dict)
     listed: set[str] = field(default_factory=set)
@@ -50,20 +51,32 @@
                 node.see_list(self.vm_list())
 
     async def call(self, sender: str, receiver: str, value):
-        for _ in range(2):  # the way there and the way back
-            await sleep(Millis(self.rng.uniform(0, 20)))
-            cut = self.sides.get(sender, 0) != self.sides.get(receiver, 0)
-            if receiver not in self.by_id or cut or self.rng.random() < self.lossy:
-                await sleep(CALL_TIMEOUT)
-                return PeerFailure(True, "lost")
-            while receiver in self.frozen:
-                await sleep(Millis(50))
-            node = self.by_id.get(receiver)
-            if node is None:
-                return PeerFailure(True, "dead")
-            if _ == 0:
-                answer = node.answer(value)
-        return answer
+        """Return the answer or a failure in time; a message may still arrive after that."""
+        answers: list = []
+        answered = trio.Event()
+        self.nursery.start_soon(self._carry, sender, receiver, value, answers, answered)
+        with move_on_after(CALL_TIMEOUT):
+            await answered.wait()
+            return answers[0]
+        return PeerFailure(True, "too late")
+
+    async def _carry(self, sender: str, receiver: str, value, answers: list, answered) -> None:
+        await sleep(Millis(self.rng.uniform(0, 20)))
+        if self._is_lost(sender, receiver):
+            return
+        while receiver in self.frozen:
+            await sleep(Millis(50))
+        if receiver not in self.by_id:
+            return
+        answer = self.by_id[receiver].answer(value)
+        await sleep(Millis(self.rng.uniform(0, 20)))
+        if not self._is_lost(receiver, sender):
+            answers.append(answer)
+            answered.set()
+
+    def _is_lost(self, sender: str, receiver: str) -> bool:
+        cut = self.sides.get(sender, 0) != self.sides.get(receiver, 0)
+        return cut or receiver not in self.by_id or self.rng.random() < self.lossy
 
 
 @dataclass
@@ -187,9 +200,9 @@
 async def one_try(seed: int) -> tuple[int, int]:
     """Return how often the busiest key ran, and how many keys ran at all."""
     rng = random.Random(seed)
-    fleet = Fleet(rng)
     ran_by_key: dict[str, list[str]] = {}
     async with trio.open_nursery() as nursery:
+        fleet = Fleet(rng, nursery)
         await start(fleet, [f"d{n}" for n in range(rng.choice([1, 2, 3, 5, 9]))], nursery)
         await sleep(Millis(300))
         fleet.lossy = rng.choice([0.0, 0.05, 0.3])
@@ -222,8 +235,8 @@
 
 def test_in_a_calm_fleet_a_new_key_runs_and_a_resend_gets_the_same_answer():
     async def body():
-        fleet = Fleet(random.Random(1))
         async with trio.open_nursery() as nursery:
+            fleet = Fleet(random.Random(1), nursery)
             await start(fleet, ["d0", "d1", "d2", "d3"], nursery)
             await sleep(Millis(300))
             key = new_key(fleet.clock.wall(), 1)
@@ -241,8 +254,8 @@
 
 def test_a_daemon_younger_than_the_key_does_not_vote():
     async def body():
-        fleet = Fleet(random.Random(1))
         async with trio.open_nursery() as nursery:
+            fleet = Fleet(random.Random(1), nursery)
             key = new_key(fleet.clock.wall(), 1)
             await start(fleet, ["d0", "d1"], nursery)
             assert isinstance(await fleet.by_id["d0"].claims.claim(key, "f"), InDoubt)
@@ -252,8 +265,8 @@
 
 def test_the_outcome_of_a_dead_owner_is_unknown_and_stays_so():
     async def body():
-        fleet = Fleet(random.Random(1))
         async with trio.open_nursery() as nursery:
+            fleet = Fleet(random.Random(1), nursery)
             await start(fleet, ["d0", "d1", "d2", "d3"], nursery)
             await sleep(Millis(300))
             key = new_key(fleet.clock.wall(), 1)
