Announce large items before sending them; spread credits at a rate for the whole fleet

Cause: by the arithmetic of the two-year size, each daemon would receive about three copies of each catalogue text and 770 credit items a second, beyond 12 KB/s. Change: a text of 1 KB or more is announced and fetched once; credits go out ten times a second over the whole fleet, however large. Several target stand-ins may share a process. Before: three copies of a text to one peer. After: one, held by a test.

--- a/bench/runs.py
+++ b/bench/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -94,6 +95,8 @@
                 work.start_soon(callers.run, plans, rate)
         collecting.cancel_scope.cancel()
     await rig.collect_events()
+    if errors := rig.daemon_errors():
+        print(errors, file=sys.stderr)
     return _sum_up(rig, callers, scenario, policy, seed)
 
 
--- a/packages/firtrestle-standins/firtrestle_standins/rigs.py
+++ b/packages/firtrestle-standins/firtrestle_standins/rigs.py
@@ -30,6 +30,7 @@
 STOP_TIMEOUT = Millis(15_000)
 POLL = Millis(50)
 CALL_TIMEOUT = Millis(5_000)
+ERROR_CHARACTERS = 6_000
 EVENT_COLLECT_PAUSE = Millis(500)
 
 
@@ -67,12 +68,16 @@
     events: list[Event] = field(default_factory=list)
     clock: Clock = field(default_factory=Clock)
     _rng: random.Random = field(default_factory=random.SystemRandom)
+    _given_ports: set[int] = field(default_factory=set)
     _seen_by_process: dict[tuple[str, int], int] = field(default_factory=dict)
 
     def free_port(self) -> int:
         """Return a port that nobody listens on."""
         while True:
             port = self._rng.randrange(FIRST_PORT, LAST_PORT)
+            if port in self._given_ports:
+                continue
+            self._given_ports.add(port)
             with socket.socket() as probe:
                 if probe.connect_ex((HOST, port)) != 0:
                     return port
@@ -98,28 +103,40 @@
         await self._wait_for("platform", "/calls")
 
     async def start_targets(
-        self, shape: Shape, faults: dict[str, Any] | None = None, version: int = 1
+        self,
+        shape: Shape,
+        faults: dict[str, Any] | None = None,
+        version: int = 1,
+        per_process: int = 1,
     ) -> None:
-        """Start the instances of a collection, one process each, and list them."""
+        """Start the instances of a collection, some in each process, and list them."""
         index_version = shape.version(version)
         self.shape_by_collection[shape.collection] = shape
         self.versions.setdefault(shape.collection, {})[version] = index_version
-        for index, target_id in enumerate(shape.target_ids()):
-            self._start_target(shape, index, target_id, index_version, faults or {})
-        for target_id in shape.target_ids():
+        paths = [
+            self._prepare_target(shape, index, target_id, index_version, faults or {})
+            for index, target_id in enumerate(shape.target_ids())
+        ]
+        for first in range(0, len(paths), per_process):
+            self._spawn_targets(shape.target_ids()[first], paths[first : first + per_process])
+        for target_id in shape.target_ids()[::per_process]:
             await self._wait_for(target_id, "/status")
 
-    def _start_target(
+    def _spawn_targets(self, name: str, paths: list[Path]) -> None:
+        address = next(f"{vm['host']}:{vm['port']}" for vm in self.vms if vm["id"] == name)
+        command = [sys.executable, "-m", "firtrestle_standins.targets", *map(str, paths)]
+        self.spawn(name, address, command)
+
+    def _prepare_target(
         self, shape: Shape, index: int, target_id: str, version: IndexVersion, faults: dict
-    ) -> None:
+    ) -> Path:
+        """Write a target's file and list the target."""
         port = self.free_port()
         config = shape.config(index, version)
         config |= {"host": HOST, "port": port, "seed": self.seed, "faults": faults}
         config["record"] = str(self.folder / f"{target_id}.jsonl")
         path = self.folder / f"{target_id}.json"
         path.write_text(json.dumps(config))
-        command = [sys.executable, "-m", "firtrestle_standins.targets", str(path)]
-        self.spawn(target_id, f"{HOST}:{port}", command)
         self.vms.append(
             {
                 "id": target_id,
@@ -131,6 +148,7 @@
                 "state": "live",
             }
         )
+        return path
 
     async def start_daemons(self, count: int, data_centres: int = 2, first: int = 1) -> None:
         """Start daemons and list them."""
@@ -302,6 +320,18 @@
             self.events += [Event.from_dict(raw) for raw in page["events"]]
             self._seen_by_process[key] = page["last"]
 
+    def daemon_errors(self) -> str:
+        """Return what the daemons logged after the first error of each."""
+        found = []
+        for vm in self.vms:
+            log = self.folder / f"{vm['id']}.log"
+            if vm["kind"] != "daemon" or not log.exists():
+                continue
+            _, error, rest = log.read_text().partition(" ERROR ")
+            if error:
+                found.append(f"{vm['id']}: {rest[:ERROR_CHARACTERS]}")
+        return "\n".join(found)
+
     def trace(self) -> list[Event]:
         """Return all events collected and recorded, in order."""
         recorded = [event for path in self.folder.glob("*.jsonl") for event in load_trace(path)]
--- a/packages/firtrestle-standins/firtrestle_standins/targets.py
+++ b/packages/firtrestle-standins/firtrestle_standins/targets.py
@@ -271,10 +271,16 @@
         return rows, version.documents_by_shard()[call["shard"]]
 
 
+async def run_all(configs: list[TargetConfig]) -> None:
+    """Run several targets in this process, each one with its own limits."""
+    async with trio.open_nursery() as nursery:
+        for config in configs:
+            nursery.start_soon(Target(config).run)
+
+
 def main() -> None:
-    """Run one target from the file that a rig wrote."""
-    config = TargetConfig.from_file(Path(sys.argv[1]))
-    trio.run(Target(config).run)
+    """Run the targets of the files that a rig wrote."""
+    trio.run(run_all, [TargetConfig.from_file(Path(path)) for path in sys.argv[1:]])
 
 
 if __name__ == "__main__":
--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -46,6 +46,7 @@
 CATALOGUE = "catalogue"
 VMS = "vms"
 CREDIT_SPREAD_PAUSE = Millis(1_000)
+CREDIT_PAUSE_PER_DAEMON = Millis(100)  # so that all daemons together spread ten times a second
 STOP_POLL = Millis(20)
 LISTEN_BACKLOG = 1_024
 COLLECTOR_THRESHOLD = 50_000  # allocations; fewer passes, so fewer pauses
@@ -67,7 +68,7 @@
         events = EventLog(process, self.incarnation, clock, settings.events.capacity)
         self.events = events
         self.items = SpreadMap()
-        self._spreader = Spreader(self.items, settings.peers.fanout, rng)
+        self._spreader = Spreader(self.items, settings.peers.fanout, rng, clock)
         self._clients = PeerClients(nursery)
         me = Members.me_from_config(settings.daemon, self.incarnation)
         self.members = Members(
@@ -231,7 +232,8 @@
 
     async def _spread_credits(self) -> None:
         while True:
-            await sleep(CREDIT_SPREAD_PAUSE)
+            fleet_size = len(self.members.live())
+            await sleep(Millis(max(CREDIT_SPREAD_PAUSE, CREDIT_PAUSE_PER_DAEMON * fleet_size)))
             self._kernel.ledger.spread(self.items, self._process())
 
     def _process(self) -> str:
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -61,18 +61,20 @@
 @message("pull")
 @dataclass(slots=True)
 class Pull:
-    """Ask for items by key, and hand over items the peer lacks."""
+    """Ask for items by key, hand over items the peer lacks, and announce large ones."""
 
     keys: list[str] = field(default_factory=list)
     items: list[list[Any]] = field(default_factory=list)
+    announced: dict[str, int] = field(default_factory=dict)
 
 
 @message("items")
 @dataclass(slots=True)
 class Items:
-    """Carry items of state as [key, stamp, value]."""
+    """Carry items of state as [key, stamp, value], and say which announced ones to send."""
 
     items: list[list[Any]] = field(default_factory=list)
+    wanted: list[str] = field(default_factory=list)
 
 
 @message("join")
--- a/packages/firtrestle/firtrestle/spreads.py
+++ b/packages/firtrestle/firtrestle/spreads.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
 import trio
 
-from firtrestle.clocks import Millis, sleep
+from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.hashing import hash32
 from firtrestle.messages import Items, Ping, Pong, Pull
 
 BUCKETS = 64
 BATCH_DELAY = Millis(5)
 MAX_ITEMS_PER_PULL = 2_000
+LARGE_BYTES = 1_024  # of a text, from which it is announced before it is sent
+ASKED_FOR = Millis(500)  # time that an announced item is awaited from one peer alone
 
 Guard = Callable[[str, int, Any], bool]
 Listener = Callable[[str, "Item"], None]
+CallPeer = Callable[[Any, Any], Awaitable[Any]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,21 +117,29 @@
 class Spreader:
     """Push changes at once, and repair what pushes missed on each ping."""
 
-    def __init__(self, items: SpreadMap, fanout: int, rng: random.Random) -> None:
+    def __init__(self, items: SpreadMap, fanout: int, rng: random.Random, clock: Clock) -> None:
         self.items = items
         self._fanout = fanout
         self._rng = rng
+        self._clock = clock
+        self._asked_at_by_key: dict[str, Millis] = {}
 
-    async def push_changes(self, live_peers: Callable[[], list[Any]], call: Any) -> None:
+    async def push_changes(self, live_peers: Callable[[], list[Any]], call: CallPeer) -> None:
         """Send each change to a few random peers, for ever."""
         async with trio.open_nursery() as nursery:
             while True:
                 await self.items.changed_event.wait()
                 await sleep(BATCH_DELAY)
-                rows = self.items.take_changed()
+                push = _as_push(self.items.take_changed())
                 peers = live_peers()
                 for peer in self._rng.sample(peers, min(self._fanout, len(peers))):
-                    nursery.start_soon(call, peer, Pull([], rows))
+                    nursery.start_soon(self._push, peer, push, call)
+
+    async def _push(self, peer: Any, push: Pull, call: CallPeer) -> None:
+        """Send small items at once, and large ones to a peer that asks for them."""
+        answer = await call(peer, push)
+        if isinstance(answer, Items) and answer.wanted:
+            await call(peer, Pull([], self.items.rows(answer.wanted)))
 
     def serve_ping(self, ping: Ping) -> Pong:
         """Answer with the stamps of the buckets that differ from the sender's."""
@@ -138,7 +149,20 @@
     def serve_pull(self, pull: Pull) -> Items:
         """Take in the sender's items and return those it asks for."""
         self.items.put_rows(pull.items)
-        return Items(self.items.rows(pull.keys[:MAX_ITEMS_PER_PULL]))
+        wanted = [key for key, stamp in pull.announced.items() if self._wants(key, stamp)]
+        return Items(self.items.rows(pull.keys[:MAX_ITEMS_PER_PULL]), wanted)
+
+    def _wants(self, key: str, stamp: int) -> bool:
+        """Say whether to ask for an announced item; one peer at a time is asked."""
+        held = self.items.by_key.get(key)
+        if held is not None and held.stamp >= stamp:
+            return False
+        now = self._clock.now()
+        asked_at = self._asked_at_by_key.get(key)
+        if asked_at is not None and now - asked_at < ASKED_FOR:
+            return False
+        self._asked_at_by_key[key] = now
+        return True
 
     def repair_for(self, pong: Pong) -> Pull | None:
         """Work out what to fetch and hand over after a ping, if anything."""
@@ -156,5 +180,11 @@
     return hash32(key) % BUCKETS
 
 
+def _as_push(rows: list[list[Any]]) -> Pull:
+    large = [row for row in rows if isinstance(row[2], str) and len(row[2]) >= LARGE_BYTES]
+    small = [row for row in rows if row not in large]
+    return Pull([], small, {key: stamp for key, stamp, _ in large})
+
+
 def _row(key: str, item: Item) -> list[Any]:
     return [key, item.stamp, item.value]
--- a/packages/firtrestle/tests/test_admitters.py
+++ b/packages/firtrestle/tests/test_admitters.py
@@ -1,7 +1,6 @@
 import random
 
 from fakes import entry
-
 from firtrestle.admitters import Arrival
 from firtrestle.clocks import Clock, Millis
 from firtrestle.errors import ErrorKind
--- a/packages/firtrestle/tests/test_hedgers.py
+++ b/packages/firtrestle/tests/test_hedgers.py
@@ -1,7 +1,6 @@
 import random
 
 import pytest
-
 from firtrestle.clocks import Clock, Millis
 from firtrestle.hedgers import Progress
 from firtrestle.plugins.hedgers import AdaptiveHedger, NoHedger
--- /dev/null
+++ b/packages/firtrestle/tests/test_lanes.py
@@ -0,0 +1,169 @@
+"""Check a lane against a target in this process, over real sockets."""
+
+import json
+
+import trio
+from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
+from firtrestle.lanes import Lane
+from firtrestle.messages import SubReply, SubRequest
+from firtrestle.settings import TargetSettings
+from firtrestle.target_reports import SearcherReport, TargetReport, TargetState
+from firtrestle.vm_lists import Vm, VmKind, VmState
+
+
+class Target:
+    """Answer searches when told, and count what runs at once."""
+
+    def __init__(self) -> None:
+        self.running = self.most_running = self.connections = self.most_connections = 0
+        self.received: list[dict] = []
+        self.cancelled: list[int] = []
+        self.release = trio.Event()
+        self.garble: dict = {}
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        call = json.loads(request.body)
+        if request.path == "/cancel":
+            self.cancelled.append(call["attempt"])
+            return HttpResponse.from_json({"cancelled": True})
+        self.received.append(call)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        await self.release.wait()
+        self.running -= 1
+        names = ("request_id", "attempt", "collection", "version", "shard")
+        echo = {name: call[name] for name in names}
+        return HttpResponse.from_json({**echo, "rows": [], "documents": 3, **self.garble})
+
+    async def accept(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        self.most_connections = max(self.most_connections, self.connections)
+        server = HttpServer(self.handle, HttpBounds(), watch_callers=False)
+        await server.serve(stream)
+        self.connections -= 1
+
+
+async def lane_to(target: Target, nursery: trio.Nursery, slots: int = 2, limit: int = 8) -> Lane:
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listener.socket.getsockname()[1]
+    nursery.start_soon(trio.serve_listeners, target.accept, [listener])
+    vm = Vm("t", VmKind.TARGET, "dc", "127.0.0.1", port, 0, VmState.LIVE, "c")
+    lane = Lane(vm, TargetSettings(), Clock(), nursery)
+    searchers = {"s0": SearcherReport(slots, {1: (0,)})}
+    lane.report = TargetReport("t", TargetState.LIVE, "c", limit, searchers, {1: (3,)})
+    return lane
+
+
+def sub(attempt: int, urgent: bool = False, budget: float = 5_000, key: str = "") -> SubRequest:
+    return SubRequest("r", attempt, "t", "s0", "c", 1, 0, "search", {}, budget, urgent, key)
+
+
+async def until(condition) -> None:
+    with trio.fail_after(10):
+        while not condition():
+            await sleep(Millis(5))
+
+
+async def test_slots_and_connections_are_never_exceeded_and_urgent_goes_first():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery)
+        for attempt in range(10):
+            lane.start(sub(attempt, urgent=attempt == 9), replies.append)
+        await until(lambda: target.running == 2)
+        target.release.set()
+        await until(lambda: len(replies) == 10)
+        assert all(reply.outcome == "ok" for reply in replies)
+        assert target.most_running == 2
+        assert target.most_connections <= 4  # half of the target's limit
+        assert [call["attempt"] for call in target.received].index(9) == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_cancelled_call_holds_its_slot_until_the_target_replied():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery, slots=1)
+        first = lane.start(sub(1), replies.append)
+        await until(lambda: target.running == 1)
+        lane.start(sub(2), replies.append)
+        first.cancel()
+        await until(lambda: target.cancelled == [1])
+        assert len(target.received) == 1
+        target.release.set()
+        await until(lambda: len(replies) == 1)
+        assert replies[0].attempt == 2
+        assert target.most_running == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_request_with_a_key_is_never_cancelled_at_the_target():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery)
+        call = lane.start(sub(1, key="k"), replies.append)
+        await until(lambda: target.running == 1)
+        call.cancel()
+        target.release.set()
+        await until(lambda: target.running == 0)
+        assert target.cancelled == []
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_reply_of_another_request_is_no_answer_and_ends_its_connection():
+    target = Target()
+    target.release.set()
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery)
+        for garble in ({"attempt": 77}, {"rows": [{"version": 2}]}, {"documents": "many"}):
+            replies: list[SubReply] = []
+            target.garble = garble
+            lane.start(sub(1), replies.append)
+            await until(lambda replies=replies: bool(replies))
+            assert (replies[0].outcome, replies[0].sent) == ("bad-reply", True)
+        await until(lambda: lane.open_connections == 0)
+        nursery.cancel_scope.cancel()
+
+
+async def test_what_cannot_be_served_in_time_is_refused_at_once_and_unsent():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery, slots=1)
+        lane._service_times.extend([Millis(1_000)] * 4)
+        lane.start(sub(1), replies.append)
+        lane.start(sub(2), replies.append)
+        lane.start(sub(3, budget=500), replies.append)
+        assert [(r.attempt, r.outcome, r.sent) for r in replies] == [(3, "shed", False)]
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_closed_lane_gives_back_what_waits_and_finishes_what_runs():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery, slots=1)
+        lane.start(sub(1), replies.append)
+        lane.start(sub(2), replies.append)
+        await until(lambda: target.running == 1)
+        lane.close()
+        assert [(r.attempt, r.outcome, r.sent) for r in replies] == [(2, "not-holder", False)]
+        target.release.set()
+        await until(lambda: len(replies) == 2)
+        assert replies[1].outcome == "ok"
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_target_that_dies_with_the_call_is_told_from_one_never_reached():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as serving:
+            lane = await lane_to(target, serving)
+            lane._nursery = nursery
+            lane.start(sub(1), replies.append)
+            await until(lambda: target.running == 1)
+            serving.cancel_scope.cancel()
+        await until(lambda: len(replies) == 1)
+        lane.start(sub(2), replies.append)
+        await until(lambda: len(replies) == 2)
+        assert [(r.outcome, r.sent) for r in replies] == [("died", True), ("unreachable", False)]
+        nursery.cancel_scope.cancel()
--- a/packages/firtrestle/tests/test_members.py
+++ b/packages/firtrestle/tests/test_members.py
@@ -59,7 +59,7 @@
     members: dict[str, Members] = {}
     for name, port in PORTS.items():
         rng = random.Random(port)
-        spreader = Spreader(SpreadMap(), 3, rng)
+        spreader = Spreader(SpreadMap(), 3, rng, clock)
         me = Member(name, 1, MemberStatus.ALIVE, "dc", "h", port, port)
         events = EventLog(name, 1, clock, 1_000)
         made = Members(me, SETTINGS, spreader, Clients(net, port), clock, events, rng)
--- a/packages/firtrestle/tests/test_spreads.py
+++ b/packages/firtrestle/tests/test_spreads.py
@@ -1,6 +1,8 @@
 import random
 
-from firtrestle.messages import Ping
+import trio
+from firtrestle.clocks import Clock
+from firtrestle.messages import Ping, Pull
 from firtrestle.spreads import Spreader, SpreadMap
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -16,8 +18,8 @@
 
 
 def exchange(one: SpreadMap, other: SpreadMap) -> None:
-    here = Spreader(one, 3, random.Random(1))
-    there = Spreader(other, 3, random.Random(1))
+    here = Spreader(one, 3, random.Random(1), Clock())
+    there = Spreader(other, 3, random.Random(1), Clock())
     repair = here.repair_for(there.serve_ping(Ping("d1", list(one.digest))))
     if repair is not None:
         one.put_rows(there.serve_pull(repair).items)
@@ -62,3 +64,24 @@
     items = filled([("a", 1), ("a", 2)])
     assert items.take_changed() == [["a", 2, ["a", 2]]]
     assert items.take_changed() == []
+
+
+async def test_a_large_text_is_announced_and_sent_once(autojump_clock):
+    sender, receiver = SpreadMap(), SpreadMap()
+    here = Spreader(sender, 3, random.Random(1), Clock())
+    there = Spreader(receiver, 3, random.Random(1), Clock())
+    sent: list[Pull] = []
+
+    async def call(peer, pull):
+        sent.append(pull)
+        return there.serve_pull(pull)
+
+    sender.put("document/catalogue", 2, "x" * 5_000)
+    sender.put("small", 1, "y")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(here.push_changes, lambda: ["d1", "d2", "d3"], call)
+        await trio.sleep(1)
+        nursery.cancel_scope.cancel()
+    assert stamps(receiver) == {"document/catalogue": 2, "small": 1}
+    large = [row for pull in sent for row in pull.items if row[0] == "document/catalogue"]
+    assert len(large) == 1
