--- a/packages/firtrestle/firtrestle/peers.py
+++ b/packages/firtrestle/firtrestle/peers.py
@@ -11,7 +11,7 @@
 import trio
 from loguru import logger
 
-from firtrestle.clocks import Millis, move_on_after
+from firtrestle.clocks import Millis, move_on_after, sleep
 from firtrestle.messages import (
     BadFrame,
     Cancel,
@@ -26,6 +26,7 @@
 MAX_QUEUED_FRAMES = 10_000
 MAX_CALLS_SERVED = 10_000
 CONNECT_TIMEOUT = Millis(1_000)
+LONGEST_IDLE = Millis(5_000)
 
 Deliver = Callable[[Any], None]
 ServeCall = Callable[[Any], Awaitable[Any]]
@@ -57,15 +58,19 @@
 class PeerClient:
     """Keep one stream to one daemon, opened when first needed."""
 
-    def __init__(self, address: PeerAddress, nursery: trio.Nursery) -> None:
+    def __init__(
+        self, address: PeerAddress, nursery: trio.Nursery, idle: Millis = LONGEST_IDLE
+    ) -> None:
         self.address = address
         self._nursery = nursery
+        self._idle = idle
         self._deliver_by_id: dict[int, Deliver] = {}
         self._ids = itertools.count(1)
         self._outgoing: trio.MemorySendChannel[bytes] | None = None
         self._opening = trio.Lock()
         self.bytes_sent = 0
         self.bytes_received = 0
+        self._used = False
 
     async def call(self, value: Any, timeout: Millis) -> Any | PeerFailure:
         """Send a message and return the answer; a cancelled caller cancels the call."""
@@ -87,6 +92,7 @@
 
     def start(self, value: Any, deliver: Deliver) -> PeerCall:
         """Send a message; its answer, or a failure, is delivered once unless cancelled."""
+        self._used = True
         call = PeerCall(self, next(self._ids))
         self._deliver_by_id[call.id] = deliver
         frame = encode(call.id, value)
@@ -148,15 +154,16 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._write, stream, receive)
+                nursery.start_soon(self._close_when_idle, send, nursery.cancel_scope)
                 await self._read(stream)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, BadFrame) as errors:
             logger.debug("stream to {} ended: {}", self.address, errors.exceptions[0])
         finally:
+            receive.close()
             if self._outgoing is send:
                 self._outgoing = None
-            receive.close()
-            self._fail_waiting()
+                self._fail_waiting()
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
@@ -175,6 +182,16 @@
                 if deliver is not None:
                     deliver(value)
 
+    async def _close_when_idle(self, send: Any, scope: trio.CancelScope) -> None:
+        """End a stream that nobody used for a while, so that a large fleet costs no memory."""
+        self._used = True
+        while self._used or self._deliver_by_id:
+            self._used = False
+            await sleep(self._idle)
+        if self._outgoing is send:
+            self._outgoing = None
+        scope.cancel()
+
     def _fail_waiting(self) -> None:
         for call_id in list(self._deliver_by_id):
             self._fail(call_id, PeerFailure(True, f"the stream to {self.address} ended"))
--- a/packages/firtrestle/tests/test_lanes.py
+++ b/packages/firtrestle/tests/test_lanes.py
@@ -65,19 +65,30 @@
             await sleep(Millis(5))
 
 
-async def test_slots_and_connections_are_never_exceeded_and_urgent_goes_first():
+async def test_slots_and_connections_are_never_exceeded():
     target, replies = Target(), []
     async with trio.open_nursery() as nursery:
         lane = await lane_to(target, nursery)
         for attempt in range(10):
-            lane.start(sub(attempt, urgent=attempt == 9), replies.append)
+            lane.start(sub(attempt), replies.append)
         await until(lambda: target.running == 2)
         target.release.set()
         await until(lambda: len(replies) == 10)
         assert all(reply.outcome == "ok" for reply in replies)
         assert target.most_running == 2
         assert target.most_connections <= 4  # half of the target's limit
-        assert [call["attempt"] for call in target.received].index(9) == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_urgent_call_goes_before_the_ordinary_ones_that_wait():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery, slots=1)
+        for attempt in range(5):
+            lane.start(sub(attempt, urgent=attempt == 4), replies.append)
+        target.release.set()
+        await until(lambda: len(replies) == 5)
+        assert [call["attempt"] for call in target.received] == [0, 4, 1, 2, 3]
         nursery.cancel_scope.cancel()
 
 
--- /dev/null
+++ b/packages/firtrestle/tests/test_peers.py
@@ -0,0 +1,148 @@
+import trio
+from firtrestle.clocks import Millis, sleep
+from firtrestle.messages import Done, Ping, Pong, SubReply, SubRequest
+from firtrestle.peers import PeerAddress, PeerClient, PeerFailure, PeerServer
+
+SUB = SubRequest("r", 1, "t", "s", "c", 1, 0, "search", {}, 1_000)
+
+
+class Held:
+    """Stand for a sub-request that never ends by itself."""
+
+    finished = False
+
+    def __init__(self) -> None:
+        self.cancelled = trio.Event()
+
+    def cancel(self) -> None:
+        self.cancelled.set()
+
+
+class Peer:
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.held: list[Held] = []
+        self.streams = 0
+        self.server = PeerServer(self.serve, self.start_sub)
+
+    async def serve(self, value):
+        if value.sender == "sleeper":
+            await trio.sleep_forever()
+        return Pong()
+
+    def start_sub(self, sub, deliver):
+        if sub.shard == 1:
+            deliver(SubReply("ok"))
+        self.held.append(Held())
+        return self.held[-1]
+
+    async def accept(self, stream: trio.SocketStream) -> None:
+        self.streams += 1
+        await self.server.serve(stream)
+        self.streams -= 1
+
+    async def listen(self, idle: Millis = Millis(5_000)) -> PeerClient:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.nursery.start_soon(trio.serve_listeners, self.accept, [listener])
+        address = PeerAddress("127.0.0.1", listener.socket.getsockname()[1])
+        return PeerClient(address, self.nursery, idle)
+
+
+async def test_calls_share_one_stream_and_get_their_own_answers():
+    async with trio.open_nursery() as nursery:
+        peer = Peer(nursery)
+        client = await peer.listen()
+        answers: list = []
+        async with trio.open_nursery() as calls:
+            for _ in range(20):
+                calls.start_soon(ask, client, Ping("d1"), answers)
+        assert answers == [Pong()] * 20
+        assert peer.streams == 1
+        nursery.cancel_scope.cancel()
+
+
+async def ask(client: PeerClient, value, answers: list) -> None:
+    answers.append(await client.call(value, Millis(5_000)))
+
+
+async def test_a_call_that_is_given_up_on_is_stopped_at_the_peer():
+    async with trio.open_nursery() as nursery:
+        peer = Peer(nursery)
+        client = await peer.listen()
+        replies: list = []
+        call = client.start(SUB, replies.append)
+        with trio.fail_after(10):
+            while not peer.held:
+                await sleep(Millis(5))
+            call.cancel()
+            await peer.held[0].cancelled.wait()
+        assert replies == []
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_lost_stream_fails_its_calls_as_sent_and_stops_them_at_the_peer():
+    replies: list = []
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as serving:
+            peer = Peer(serving)
+            client = await peer.listen()
+            client._nursery = nursery
+            client.start(SUB, replies.append)
+            with trio.fail_after(10):
+                while not peer.held:
+                    await sleep(Millis(5))
+            serving.cancel_scope.cancel()
+        with trio.fail_after(10):
+            await peer.held[0].cancelled.wait()
+            while not replies:
+                await sleep(Millis(5))
+        assert replies[0].sent
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_peer_that_cannot_be_reached_fails_the_call_as_not_sent():
+    async with trio.open_nursery() as nursery:
+        client = PeerClient(PeerAddress("127.0.0.1", 1), nursery)
+        failure = await client.call(Ping("d1"), Millis(5_000))
+        assert isinstance(failure, PeerFailure)
+        assert not failure.sent
+
+
+async def test_an_idle_stream_is_closed_and_opened_again_when_needed():
+    async with trio.open_nursery() as nursery:
+        peer = Peer(nursery)
+        client = await peer.listen(idle=Millis(20))
+        for _ in range(2):
+            assert await client.call(Ping("d1"), Millis(5_000)) == Pong()
+            with trio.fail_after(10):
+                while peer.streams:
+                    await sleep(Millis(5))
+        nursery.cancel_scope.cancel()
+
+
+async def test_bad_bytes_end_the_stream_and_harm_no_other():
+    async with trio.open_nursery() as nursery:
+        peer = Peer(nursery)
+        client = await peer.listen()
+        raw = await trio.open_tcp_stream("127.0.0.1", client.address.port)
+        await raw.send_all(b"GET / HTTP/1.1\r\n\r\n")
+        with trio.fail_after(10):
+            assert await raw.receive_some(100) == b""
+        assert peer.server.frames_refused == 1
+        assert await client.call(Ping("d1"), Millis(5_000)) == Pong()
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_message_that_is_no_call_is_answered_as_such():
+    async with trio.open_nursery() as nursery:
+        server = PeerServer(refuse, None)
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, server.serve, [listener])
+        address = PeerAddress("127.0.0.1", listener.socket.getsockname()[1])
+        answer = await PeerClient(address, nursery).call(Ping("d1"), Millis(5_000))
+        assert answer == Done(False, "failed")
+        nursery.cancel_scope.cancel()
+
+
+async def refuse(value):
+    raise RuntimeError("a fault of the program")
