--- a/packages/firtrestle-standins/tests/test_rigs.py
+++ b/packages/firtrestle-standins/tests/test_rigs.py
@@ -207,8 +207,7 @@
 
         async def resend() -> None:
             for _ in range(5):
-                await callers.send(plan)
-                await sleep(Millis(200))
+                await callers.send(plan)  # again at once, through any daemon
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(resend)
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -29,6 +29,7 @@
 from firtrestle.snapshots import ReplicaId, Snapshot
 
 RETRY_PAUSE = Millis(30)
+SUSPECT_PAUSE = Millis(100)  # for all daemons to hear of a suspect before it is tried again
 HEDGE_RECHECK = Millis(1)
 MAX_TRIES_PER_SHARD = 8
 LATENCY_SHARE = 0.5  # of the time, after which an entry that weighs latency stops waiting
@@ -183,10 +184,10 @@
 
     def _replace_canary(self) -> None:
         """Go on after a canary failed: with one more if a target died, else with all."""
-        if not self._tools.quarantines.is_suspect(self._query.fingerprint):
+        if not self._is_suspect():
             self._release_waiting()
         elif self._waiting_shards:
-            self._send_or_miss(self._waiting_shards.popleft())
+            self._send_later(self._waiting_shards.popleft(), SUSPECT_PAUSE)
 
     def _send_next(self, shard: int, repeat: bool = False) -> bool:
         """Send a shard's sub-request to its best untried replica; return whether there is one."""
@@ -296,13 +297,15 @@
         if outcome in FINAL or state.tries >= MAX_TRIES_PER_SHARD:
             self._miss(state.number, outcome)
             return
+        if outcome is SubOutcome.DIED and self._is_suspect():
+            self._retry_suspect(state)
+            return
         if self._may_retry(reply, outcome) and self._send_next(state.number):
             return
         if outcome is SubOutcome.SNAPSHOT_GONE and self._may_move:
             self._ended = SnapshotGone(self._snapshot.version, self._result.sent)
         elif outcome in SAME_REPLICA_AGAIN and not reply.sent:
-            pause = Millis(RETRY_PAUSE * state.tries)
-            self._again_at_by_shard[state.number] = Millis(self._tools.clock.now() + pause)
+            self._send_later(state.number, Millis(RETRY_PAUSE * state.tries))
         else:
             self._miss(state.number, outcome)
 
@@ -321,6 +324,19 @@
         """Say whether another try is free, or paid from the budget."""
         return not reply.sent or outcome is SubOutcome.DRAINING or self._budget.spend_on_retry()
 
+    def _is_suspect(self) -> bool:
+        return self._tools.quarantines.is_suspect(self._query.fingerprint)
+
+    def _retry_suspect(self, state: _Shard) -> None:
+        """Try a suspect on one more target, alone and once all daemons know of it."""
+        if self._budget.spend_on_retry():
+            self._send_later(state.number, SUSPECT_PAUSE)
+        else:
+            self._miss(state.number, SubOutcome.DIED)
+
+    def _send_later(self, shard: int, pause: Millis) -> None:
+        self._again_at_by_shard[shard] = Millis(self._tools.clock.now() + pause)
+
     def _send_again(self) -> None:
         """Try the replicas again of each shard whose pause is over."""
         now = self._tools.clock.now()
@@ -379,7 +395,7 @@
     def _hedge_late(self) -> None:
         """Send a second sub-request for each shard past the hedge delay, within the budget."""
         delay = self._hedge_delay()
-        if delay is None or self._tools.quarantines.is_suspect(self._query.fingerprint):
+        if delay is None or self._is_suspect():
             return
         now = self._tools.clock.now()
         for state in self._hedgeable():
--- a/packages/firtrestle/firtrestle/joins.py
+++ b/packages/firtrestle/firtrestle/joins.py
@@ -18,6 +18,7 @@
 
 JOIN_TIMEOUT = Millis(500)
 RETRY_PAUSE = Millis(250)
+MEETINGS_AT_ONCE = 16
 
 
 class Joiner:
@@ -51,21 +52,23 @@
             await sleep(Millis(self._settings.retry_ms * self._rng.uniform(0.5, 1.5)))
         met: set[str] = set()
         while missing := set(self._listed_by_id) - met:
+            limit = trio.CapacityLimiter(MEETINGS_AT_ONCE)
             async with trio.open_nursery() as nursery:
                 for daemon_id in missing:
-                    nursery.start_soon(self._meet, daemon_id, met)
+                    nursery.start_soon(self._meet, daemon_id, met, limit)
             if set(self._listed_by_id) - met:
                 await sleep(RETRY_PAUSE)
         self._voters.establish()
         logger.info("established as a holder of keys with {} others", len(met))
 
-    async def _meet(self, daemon_id: str, met: set[str]) -> None:
+    async def _meet(self, daemon_id: str, met: set[str], limit: trio.CapacityLimiter) -> None:
         vm = self._listed_by_id.get(daemon_id)
         if vm is None:
             return
         me = self._me
         join = Join(me.id, me.incarnation, me.data_centre, me.host, me.port, me.peer_port)
         client = self._clients.get(PeerAddress(vm.host, vm.peer_port))
-        answer = await client.call(join, JOIN_TIMEOUT)
+        async with limit:
+            answer = await client.call(join, JOIN_TIMEOUT)
         if isinstance(answer, Done) and answer.ok:
             met.add(daemon_id)
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -9,6 +9,7 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 8_000_000
+READ_BYTES = 16_384  # taken at once for each stream; grows with what comes
 
 Kind = TypeVar("Kind")
 message_by_tag: dict[str, type] = {}
@@ -223,4 +224,6 @@
 
 def new_unpacker() -> msgpack.Unpacker:
     """Build an unpacker that bounds its memory."""
-    return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES, strict_map_key=True, raw=False)
+    return msgpack.Unpacker(
+        max_buffer_size=MAX_FRAME_BYTES, read_size=READ_BYTES, strict_map_key=True, raw=False
+    )
--- a/packages/firtrestle/firtrestle/peers.py
+++ b/packages/firtrestle/firtrestle/peers.py
@@ -26,7 +26,7 @@
 MAX_QUEUED_FRAMES = 10_000
 MAX_CALLS_SERVED = 10_000
 CONNECT_TIMEOUT = Millis(1_000)
-LONGEST_IDLE = Millis(5_000)
+LONGEST_IDLE = Millis(2_000)
 
 Deliver = Callable[[Any], None]
 ServeCall = Callable[[Any], Awaitable[Any]]
--- a/packages/firtrestle/firtrestle/quarantines.py
+++ b/packages/firtrestle/firtrestle/quarantines.py
@@ -16,6 +16,8 @@
 from firtrestle.spreads import SpreadMap
 
 QUARANTINE_PREFIX = "quarantine/"
+SUSPECT_PREFIX = "suspect/"
+SUSPECT_HOLD = Millis(5_000)  # for a suspect that another daemon is trying
 MAX_KNOWN_GOOD = 100_000
 MAX_SUSPECTS = 10_000
 MAX_SHAPES = 10_000
@@ -42,6 +44,7 @@
         self._survivals_by_shape: OrderedDict[str, int] = OrderedDict()
         self._alert_until_by_entry: dict[str, Millis] = {}
         items.guard(QUARANTINE_PREFIX, self._is_current)
+        items.guard(SUSPECT_PREFIX, self._is_current)
 
     def canaries_for(self, query: Query) -> int:
         """Return how many sub-requests go first, 0 for a query that is no risk."""
@@ -58,7 +61,8 @@
 
     def clear(self, query: Query) -> None:
         """Take note that a target survived the query."""
-        self._suspect_by_fingerprint.pop(query.fingerprint, None)
+        if self._suspect_by_fingerprint.pop(query.fingerprint, None) is not None:
+            self._tell_suspicion(query, [])
         self._known_good[query.fingerprint] = None
         self._known_good.move_to_end(query.fingerprint)
         if len(self._known_good) > MAX_KNOWN_GOOD:
@@ -78,6 +82,7 @@
         if len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
             del self._suspect_by_fingerprint[next(iter(self._suspect_by_fingerprint))]
         if len(suspect.targets) < self._settings.deaths:
+            self._tell_suspicion(query, sorted(suspect.targets))
             return False
         self._suspect_by_fingerprint.pop(fingerprint, None)
         until = round(self._clock.wall() + self._settings.hold_ms)
@@ -87,19 +92,28 @@
         logger.warning("request {} of {} crashed {}", fingerprint, entry_name, targets)
         return True
 
+    def _tell_suspicion(self, query: Query, targets: list[str]) -> None:
+        """Tell all daemons not to try a suspect too, or, without targets, that it is cleared."""
+        key = SUSPECT_PREFIX + query.fingerprint
+        held = self._items.by_key.get(key)
+        until = round(self._clock.wall() + SUSPECT_HOLD)
+        stamp = max(until, held.stamp + 1) if held is not None else until
+        self._items.put(key, stamp, [query.entry.name, targets])
+
     def _on_alert(self, entry_name: str) -> bool:
         return self._clock.now() < self._alert_until_by_entry.get(entry_name, Millis(0))
 
     def time_left(self, fingerprint: str) -> Millis | None:
-        """Return how long a request is still held off, or None."""
-        key = QUARANTINE_PREFIX + fingerprint
-        item = self._items.by_key.get(key)
-        if item is None:
-            return None
-        left = item.stamp - self._clock.wall()
-        if left > 0:
-            return Millis(left)
-        self._items.remove(key)
+        """Return how long a request is still held off, here or while a peer tries it, or None."""
+        for prefix in (QUARANTINE_PREFIX, SUSPECT_PREFIX):
+            item = self._items.by_key.get(prefix + fingerprint)
+            if item is None:
+                continue
+            left = item.stamp - self._clock.wall()
+            if left <= 0:
+                self._items.remove(prefix + fingerprint)
+            elif item.value[1]:
+                return Millis(left)
         return None
 
     def held(self) -> dict[str, Any]:
--- a/packages/firtrestle/tests/test_quarantines.py
+++ b/packages/firtrestle/tests/test_quarantines.py
@@ -67,3 +67,15 @@
         ]
     )
     assert list(quarantines.held()) == ["good"]
+
+
+async def test_a_suspect_that_a_peer_is_trying_is_held_off_until_cleared():
+    quarantines, items, clock = made()
+    other, other_items, other_clock = made()
+    asked = query(fingerprint="f")
+    quarantines.note_death(asked, "t0")
+    other_items.put_rows(items.rows(["suspect/f"]))
+    assert other.time_left("f") > 0
+    quarantines.clear(asked)
+    other_items.put_rows(items.rows(["suspect/f"]))
+    assert other.time_left("f") is None
