--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint demo bench soak slopes clean
+.PHONY: setup test lint demo playground bench soak slopes overheads clean
 
 $(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,9 @@
 demo: setup
 	$(BIN)/python -m firtrestle_standins.demos
 
+playground: setup
+	$(BIN)/python -m firtrestle_standins.playgrounds
+
 bench: setup
 	$(BIN)/python -m bench all
 
@@ -33,5 +36,8 @@
 slopes: setup
 	$(BIN)/python -m bench.slopes
 
+overheads: setup
+	$(BIN)/python -m bench.overheads
+
 clean:
 	rm -rf $(VENV) .run
