Survive splits: greet streams, notice silence, fail over; borrow before refusing

Cause, each found by the split or rolling-restart rig test: 1. A query whose canary was late sent its other shards after the deadline and failed as internal. 2. Calls queued behind one lock, 300 ms for each attempt to open a stream to a cut-off peer. 3. Calls on a stream that was cut waited for the whole deadline. 4. The throttle took queries that still waited for overload. 5. A canary stuck on an unreachable target held up its query. 6. A daemon used a small part of each limit until 2.5 s after its first query, and lenders gave all.

--- a/packages/firtrestle-standins/firtrestle_standins/rigs.py
+++ b/packages/firtrestle-standins/firtrestle_standins/rigs.py
@@ -24,6 +24,7 @@
 from firtrestle_standins.shapes import Shape
 
 HOST = "127.0.0.1"
+LINK_HOST = "127.0.1.{}"  # each daemon's own, so that a relay can tell who dials
 FIRST_PORT = 20_000
 LAST_PORT = 30_000  # below the ports that the system hands out
 START_TIMEOUT = Millis(20_000)
@@ -68,6 +69,7 @@
     events: list[Event] = field(default_factory=list)
     clock: Clock = field(default_factory=Clock)
     _rng: random.Random = field(default_factory=random.SystemRandom)
+    _relays: list[dict[str, Any]] = field(default_factory=list)
     _given_ports: set[int] = field(default_factory=set)
     _seen_by_process: dict[tuple[str, int], int] = field(default_factory=dict)
 
@@ -150,11 +152,17 @@
         )
         return path
 
-    async def start_daemons(self, count: int, data_centres: int = 2, first: int = 1) -> None:
-        """Start daemons and list them."""
+    async def start_daemons(
+        self, count: int, data_centres: int = 2, first: int = 1, through_links: bool = False
+    ) -> None:
+        """Start daemons and list them; through links, their streams can be cut."""
         names = [f"d{number}" for number in range(first, first + count)]
         for offset, name in enumerate(names):
-            self._write_settings(name, f"dc{(first + offset - 1) % data_centres + 1}")
+            number = first + offset
+            host = LINK_HOST.format(number) if through_links else HOST
+            self._write_settings(name, f"dc{(number - 1) % data_centres + 1}", host, through_links)
+        if through_links:
+            await self._start_links()
         await self.publish_vms()
         for name in names:
             self.start_daemon(name)
@@ -166,18 +174,41 @@
         settings = self.folder / f"{name}.yaml"
         vm = next(vm for vm in self.vms if vm["id"] == name)
         command = [sys.executable, "-m", "firtrestle.daemon", str(settings)]
-        self.spawn(name, f"{HOST}:{vm['port']}", command)
+        self.spawn(name, f"{vm['host']}:{vm['port']}", command)
 
-    def _write_settings(self, name: str, data_centre: str) -> None:
+    async def _start_links(self) -> None:
+        """Start the relays of all daemons that have one."""
+        port = self.free_port()
+        config = {"host": HOST, "port": port, "relays": self._relays}
+        path = self.folder / "links.json"
+        path.write_text(json.dumps(config))
+        command = [sys.executable, "-m", "firtrestle_standins.links", str(path)]
+        self.spawn("links", f"{HOST}:{port}", command)
+        await self._wait_for("links", "/")
+
+    async def split(self, side_by_daemon: dict[str, int]) -> None:
+        """Cut the links between daemons of different sides; no sides heal all."""
+        host_by_id = {vm["id"]: vm["host"] for vm in self.vms}
+        sides = {host_by_id[name]: side for name, side in side_by_daemon.items()}
+        await self.control("links", sides=sides)
+
+    def _write_settings(
+        self, name: str, data_centre: str, host: str = HOST, linked: bool = False
+    ) -> None:
         port, peer_port = self.free_port(), self.free_port()
+        advertised = self.free_port() if linked else peer_port
+        if linked:
+            relay = {"host": host, "peer_port": peer_port, "relay_port": advertised}
+            self._relays.append(relay)
         platform = self.by_name["platform"].address
         settings: dict[str, Any] = {
             "daemon": {
                 "id": name,
                 "data_centre": data_centre,
-                "address": HOST,
+                "address": host,
                 "port": port,
                 "peer_port": peer_port,
+                "advertised_peer_port": advertised,
             },
             "platform": {
                 "configuration_service": platform,
@@ -195,9 +226,9 @@
                 "id": name,
                 "kind": "daemon",
                 "data_centre": data_centre,
-                "host": HOST,
+                "host": host,
                 "port": port,
-                "peer_port": peer_port,
+                "peer_port": advertised,
                 "state": "live",
             }
         )
@@ -321,13 +352,13 @@
             self._seen_by_process[key] = page["last"]
 
     def daemon_errors(self) -> str:
-        """Return what the daemons logged after the first error of each."""
+        """Return the first fault of the program that each daemon logged."""
         found = []
         for vm in self.vms:
             log = self.folder / f"{vm['id']}.log"
             if vm["kind"] != "daemon" or not log.exists():
                 continue
-            _, error, rest = log.read_text().partition(" ERROR ")
+            _, error, rest = log.read_text().partition("Traceback")
             if error:
                 found.append(f"{vm['id']}: {rest[:ERROR_CHARACTERS]}")
         return "\n".join(found)
--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -33,7 +33,7 @@
 from firtrestle.operator_routes import OperatorRoutes
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_calls import PeerCalls
-from firtrestle.peers import PeerAddress, PeerClients, PeerFailure, PeerServer
+from firtrestle.peers import PeerClients, PeerFailure, PeerServer
 from firtrestle.platforms import DOCUMENT_PREFIX, DocumentWatcher
 from firtrestle.quarantines import Quarantines
 from firtrestle.replicas import Replicas
@@ -71,7 +71,7 @@
         self.events = events
         self.items = SpreadMap()
         self._spreader = Spreader(self.items, settings.peers.fanout, rng, clock)
-        self._clients = PeerClients(nursery)
+        self._clients = PeerClients(nursery, settings.daemon.address)
         me = Members.me_from_config(settings.daemon, self.incarnation)
         self.members = Members(
             me, settings.peers, self._spreader, self._clients, clock, events, rng
@@ -82,8 +82,7 @@
         self._pauses = PauseGuard(
             clock, events, Millis(settings.peers.pause_ms), self.members.refresh
         )
-        address = PeerAddress(settings.daemon.address, settings.daemon.peer_port)
-        self.voters = Voters(process, address, settings.claims, clock)
+        self.voters = Voters(process, me.address, settings.claims, clock)
         self._table = KeyTable(self.voters, settings.claims, clock)
         self._claims = Claims(
             f"{process}#{self.incarnation}", self.voters, self._call_voter, settings.claims, clock
@@ -148,6 +147,7 @@
             self.items,
             self.voters,
             quarantines,
+            self._shares,
             events,
             [self._catalogue_watcher, self._vms_watcher],
             self._clients,
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -31,7 +31,8 @@
 RETRY_PAUSE = Millis(30)
 SUSPECT_PAUSE = Millis(100)  # for all daemons to hear of a suspect before it is tried again
 HEDGE_RECHECK = Millis(1)
-MAX_TRIES_PER_SHARD = 8
+LONGEST_PAUSE = Millis(300)
+MAX_TRIES_PER_SHARD = 30
 LATENCY_SHARE = 0.5  # of the time, after which an entry that weighs latency stops waiting
 SAME_REPLICA_AGAIN = frozenset({SubOutcome.UNREACHABLE, SubOutcome.NOT_HOLDER})
 FINAL = frozenset({SubOutcome.DEADLINE, SubOutcome.CANCELLED})
@@ -103,6 +104,7 @@
     tried: set[ReplicaId] = field(default_factory=set)
     attempts: list[_Attempt] = field(default_factory=list)
     hedged: bool = False
+    last_failure: SubOutcome = SubOutcome.DEADLINE
 
 
 class Gather:
@@ -145,8 +147,9 @@
         self._tools.hedger.learn(self._snapshot.collection, self._latencies + self._given_up)
         if self._ended is not None:
             return self._ended
-        for shard in list(self._open_by_shard):
-            self._miss(shard, SubOutcome.DEADLINE)
+        self._waiting_shards.clear()
+        for shard, state in list(self._open_by_shard.items()):
+            self._miss(shard, SubOutcome.DEADLINE if state.attempts else state.last_failure)
         return self._result
 
     async def _step(self) -> None:
@@ -189,6 +192,11 @@
         elif self._waiting_shards:
             self._send_later(self._waiting_shards.popleft(), SUSPECT_PAUSE)
 
+    def _replace_stuck_canary(self) -> None:
+        """Send another canary while one waits for its target to be reached."""
+        if self._waiting_shards and not any(s.attempts for s in self._open_by_shard.values()):
+            self._send_or_miss(self._waiting_shards.popleft())
+
     def _send_next(self, shard: int, repeat: bool = False) -> bool:
         """Send a shard's sub-request to its best untried replica; return whether there is one."""
         state = self._open_by_shard[shard]
@@ -294,6 +302,7 @@
             return
         if state.attempts:
             return
+        state.last_failure = outcome
         if outcome in FINAL or state.tries >= MAX_TRIES_PER_SHARD:
             self._miss(state.number, outcome)
             return
@@ -305,7 +314,8 @@
         if outcome is SubOutcome.SNAPSHOT_GONE and self._may_move:
             self._ended = SnapshotGone(self._snapshot.version, self._result.sent)
         elif outcome in SAME_REPLICA_AGAIN and not reply.sent:
-            self._send_later(state.number, Millis(RETRY_PAUSE * state.tries))
+            self._send_later(state.number, Millis(min(RETRY_PAUSE * state.tries, LONGEST_PAUSE)))
+            self._replace_stuck_canary()
         else:
             self._miss(state.number, outcome)
 
--- a/packages/firtrestle/firtrestle/logs.py
+++ b/packages/firtrestle/firtrestle/logs.py
@@ -26,7 +26,9 @@
     if logs.json_lines:
         logger.add(_write_json, level=logs.level)
     else:
-        logger.add(sys.stderr, format=TEXT_FORMAT, level=logs.level)
+        logger.add(
+            sys.stderr, format=TEXT_FORMAT, level=logs.level, diagnose=False, backtrace=False
+        )
 
 
 def _write_json(message: Message) -> None:
--- a/packages/firtrestle/firtrestle/members.py
+++ b/packages/firtrestle/firtrestle/members.py
@@ -95,6 +95,7 @@
         self._suspected_at: dict[str, Millis] = {}
         self._listed_by_id: dict[str, Vm] = {}
         self._order: list[str] = []
+        self._probe_now: set[str] = set()
         self._pings = 0
         self._items.guard(MEMBER_PREFIX, _is_member_value)
         self._items.listen(MEMBER_PREFIX, self._on_item)
@@ -110,7 +111,7 @@
             daemon.data_centre,
             daemon.address,
             daemon.port,
-            daemon.peer_port,
+            daemon.advertised_peer_port or daemon.peer_port,
         )
 
     def live(self) -> list[Member]:
@@ -150,8 +151,14 @@
         return await self._clients.get(member.address).call(value, timeout)
 
     def start_call(self, member: Member, value: Any, deliver: Deliver) -> Cancellable:
-        """Start a call to a member."""
-        return self._clients.get(member.address).start(value, deliver)
+        """Start a call to a member; a failure has the member probed at once."""
+
+        def on_answer(answer: Any) -> None:
+            if isinstance(answer, PeerFailure):
+                self._probe_now.add(member.id)
+            deliver(answer)
+
+        return self._clients.get(member.address).start(value, on_answer)
 
     async def run(self) -> None:
         """Ping one daemon after the other, for ever."""
@@ -167,6 +174,8 @@
                 target = self._next_to_ping()
                 if target is not None:
                     nursery.start_soon(self._probe, *target)
+                for member_id in self._take_to_probe():
+                    nursery.start_soon(self._probe, member_id, self.by_id[member_id].address)
 
     async def refresh(self) -> bool:
         """Exchange state with any one live peer; return whether one answered."""
@@ -244,6 +253,10 @@
         vm = self._rng.choice(unknown)
         return vm.id, PeerAddress(vm.host, vm.peer_port)
 
+    def _take_to_probe(self) -> list[str]:
+        found, self._probe_now = self._probe_now, set()
+        return [member_id for member_id in found if self._is_live(member_id)]
+
     def _is_live(self, member_id: str) -> bool:
         member = self.by_id.get(member_id)
         return member is not None and member.status <= MemberStatus.SUSPECT
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -40,6 +40,12 @@
     digest: list[int] = field(default_factory=list)
 
 
+@message("are-you-there")
+@dataclass(slots=True)
+class AreYouThere:
+    """Ask for any answer on a stream that has been silent."""
+
+
 @message("ping-for")
 @dataclass(slots=True)
 class PingFor:
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -18,6 +18,7 @@
 from firtrestle.platforms import REJECTED_PREFIX, DocumentWatcher
 from firtrestle.problems import problem_response
 from firtrestle.quarantines import Quarantines
+from firtrestle.shares import Shares
 from firtrestle.spreads import SpreadMap
 from firtrestle.voters import Voters
 
@@ -37,6 +38,7 @@
     items: SpreadMap
     voters: Voters
     quarantines: Quarantines
+    shares: Shares
     events: EventLog
     watchers: list[DocumentWatcher]
     clients: PeerClients
@@ -65,7 +67,8 @@
     def is_ready(self) -> bool:
         """Say whether callers should be sent here."""
         state = self.front.state
-        return state.catalogue.revision > 0 and not state.stopping
+        serving = state.catalogue.revision > 0 and not state.stopping
+        return serving and self.shares.has_own_part()
 
     def status(self) -> dict[str, Any]:
         """Return what `firtrestle status` shows."""
--- a/packages/firtrestle/firtrestle/peer_calls.py
+++ b/packages/firtrestle/firtrestle/peer_calls.py
@@ -10,6 +10,7 @@
 from firtrestle.holders import FINISHED, Holders
 from firtrestle.members import Members
 from firtrestle.messages import (
+    AreYouThere,
     AskKey,
     Borrow,
     Claim,
@@ -70,6 +71,10 @@
     async def _(self, value: Ping) -> Any:
         return self._spreader.serve_ping(value)
 
+    @_answer.register
+    async def _(self, value: AreYouThere) -> Any:
+        return Done()
+
     @_answer.register
     async def _(self, value: Pull) -> Any:
         return self._spreader.serve_pull(value)
--- a/packages/firtrestle/firtrestle/plugins/admitters.py
+++ b/packages/firtrestle/firtrestle/plugins/admitters.py
@@ -15,8 +15,8 @@
     from firtrestle.kernels import Kernel
 
 WINDOW = Millis(5_000)
-MIN_ARRIVALS = 20
-ORDINARY_SLACK = 1.3  # arrivals let in for each one served
+MIN_ENDED = 20
+ORDINARY_SLACK = 1.3  # queries let in for each one served
 URGENT_SLACK = 2.0
 SHORTEST_RETRY = Millis(500)
 LONGEST_RETRY = Millis(4_000)
@@ -33,13 +33,13 @@
 
 @dataclass(slots=True)
 class _Record:
-    """Hold the arrivals of one entry and class, and which were served, over the window."""
+    """Hold the queries of one entry and class that ended over the window, and the served ones."""
 
-    arrivals: deque[Millis] = field(default_factory=deque)
+    ended: deque[Millis] = field(default_factory=deque)
     served: deque[Millis] = field(default_factory=deque)
 
     def expire(self, now: Millis) -> None:
-        for times in (self.arrivals, self.served):
+        for times in (self.ended, self.served):
             while times and now - times[0] > WINDOW:
                 times.popleft()
 
@@ -79,8 +79,10 @@
 
     def finished(self, arrival: Arrival, served: bool) -> None:
         self._running_by_entry[arrival.entry.name] -= 1
+        record = self._record(arrival)
+        record.ended.append(self._clock.now())
         if served:
-            self._record(arrival).served.append(self._clock.now())
+            record.served.append(self._clock.now())
 
     def _over_limit(self, arrival: Arrival) -> Refused | None:
         entry = arrival.entry
@@ -99,18 +101,18 @@
         return None
 
     def _overloaded(self, arrival: Arrival) -> Refused | None:
-        """Refuse at random so that arrivals stay near what is served."""
+        """Refuse at random so that what comes stays near what is served."""
         record = self._record(arrival)
         now = self._clock.now()
         record.expire(now)
-        record.arrivals.append(now)
-        if len(record.arrivals) < MIN_ARRIVALS:
+        if len(record.ended) < MIN_ENDED:
             return None
         slack = URGENT_SLACK if arrival.urgent else ORDINARY_SLACK
-        excess = len(record.arrivals) - slack * (len(record.served) + 1)
-        if self._rng.random() < excess / len(record.arrivals):
-            return Refused(ErrorKind.OVERLOADED, retry_after=self._spread())
-        return None
+        excess = len(record.ended) - slack * (len(record.served) + 1)
+        if self._rng.random() >= excess / len(record.ended):
+            return None
+        record.ended.append(now)
+        return Refused(ErrorKind.OVERLOADED, retry_after=self._spread())
 
     def _record(self, arrival: Arrival) -> _Record:
         key = (arrival.entry.name, arrival.urgent)
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -29,6 +29,9 @@
     address: str = Field("127.0.0.1", description="IP number to listen on")
     port: int = Field(8080, ge=1, le=65535, description="port for callers and operators")
     peer_port: int = Field(8081, ge=1, le=65535, description="port for other daemons")
+    advertised_peer_port: int = Field(
+        0, ge=0, le=65535, description="port that others reach peer_port by, 0 for the same"
+    )
 
 
 class PlatformSettings(_Section):
--- a/packages/firtrestle/firtrestle/shares.py
+++ b/packages/firtrestle/firtrestle/shares.py
@@ -20,14 +20,16 @@
 from firtrestle.messages import Borrow, Loan
 from firtrestle.voters import Voters
 
-ESTABLISHED_PART = 0.9  # of the limit, over all daemons that every other one knows
-NEWCOMER_PART = 0.1  # of an equal part, for a daemon that others may not know yet
+ESTABLISHED_PART = 0.95  # of the limit, over all daemons that every other one knows
+NEWCOMER_PART = 0.05  # of an equal part, for a daemon that others may not know yet
+KEPT = 0.05  # of its own part, that a daemon never lends, for queries that come all at once
 LOAN = Millis(2_000)  # time that a borrower may let queries in on a loan
 MARGIN = Millis(500)
 PERIOD = Millis(500)
 DEMAND_WINDOW = Millis(1_000)
 HEADROOM = 1.25  # of the demand, that a lender keeps and a borrower asks for
 LENDERS_ASKED = 16  # at most, in one period
+LONGEST_WAIT = Millis(15_000)  # of a starting daemon for its own part
 LEAST_LOAN = 0.002  # of the limit
 
 CallDaemon = Callable[[str, Any], Awaitable[Any]]
@@ -61,6 +63,12 @@
         self._rng = rng
         self._share_by_entry: dict[str, _EntryShare] = {}
         self._own_since: Millis | None = None
+        self._started_at = clock.now()
+
+    def has_own_part(self) -> bool:
+        """Say whether this daemon may use its whole part, or has waited for that long enough."""
+        waited = self._clock.now() - self._started_at
+        return self._owns_part() or waited > LONGEST_WAIT
 
     def part(self, entry: Entry) -> float:
         """Return the part of an entry's limits, from 0 to 1, that queries may be let in on."""
@@ -87,7 +95,8 @@
             return Loan(0.0)
         share = self._share(entry.name)
         lent_to_others = self._lent_part(share, but=borrow.borrower)
-        free = self._base() - lent_to_others - HEADROOM * self._demand(entry, share)
+        kept = max(KEPT * self._base(), HEADROOM * self._demand(entry, share))
+        free = self._base() - lent_to_others - kept
         part = min(borrow.part, free)
         if part < LEAST_LOAN:
             return Loan(0.0)
@@ -99,6 +108,7 @@
         """Borrow for entries with more demand than share, for ever."""
         while True:
             await sleep(Millis(PERIOD * self._rng.uniform(0.8, 1.2)))
+            self._owns_part()  # starts the wait for old loans as soon as this daemon is established
             async with trio.open_nursery() as nursery:
                 for name in list(self._share_by_entry):
                     entry = catalogue().by_name.get(name)
@@ -134,13 +144,20 @@
 
     def _base(self) -> float:
         """Return this daemon's own part, small until all others know it and old loans are over."""
-        equal = 1 / max(1, len(self._voters.others()) + 1)
-        if self._voters.established_at is None:
-            return equal * NEWCOMER_PART
+        part = ESTABLISHED_PART if self._owns_part() else NEWCOMER_PART
+        return part / self._fleet_size()
+
+    def _owns_part(self) -> bool:
+        """Say whether all others know this daemon, and loans from before its start are over."""
         now = self._clock.now()
+        if self._voters.established_at is None:
+            return False
         if self._own_since is None:
             self._own_since = Millis(now + LOAN + MARGIN)
-        return equal * (ESTABLISHED_PART if now >= self._own_since else NEWCOMER_PART)
+        return now >= self._own_since
+
+    def _fleet_size(self) -> int:
+        return len(self._voters.others()) + 1
 
     def _lent_part(self, share: _EntryShare, but: str = "") -> float:
         """Return the part lent out; of one borrower's loans that overlap, the largest counts."""
--- a/packages/firtrestle/tests/test_admitters.py
+++ b/packages/firtrestle/tests/test_admitters.py
@@ -85,3 +85,11 @@
         clock.at += 5
         assert made.admit(arrival()) is None
         made.finished(arrival(), served=True)
+
+
+def test_queries_that_still_wait_are_not_taken_for_overload():
+    """Queries that waited for a split to be noticed once made the throttle refuse the others."""
+    made, clock = admitter()
+    for _ in range(300):
+        clock.at += 5
+        assert made.admit(arrival()) is None
--- a/packages/firtrestle/tests/test_gathers.py
+++ b/packages/firtrestle/tests/test_gathers.py
@@ -200,6 +200,17 @@
     run_with(behave, body)
 
 
+def test_a_canary_that_is_late_ends_the_query_without_sending_more():
+    """The shards that waited for it were once sent after the deadline, and the query failed."""
+
+    async def body(tools, holders):
+        result = await run_gather(tools, snapshot(4), timeout=50, canary=Canary.ALWAYS)
+        assert len(result.missing_by_shard) == 4
+        assert len(holders.sent) == 1
+
+    run_with(lambda sub: (5_000, good_reply(sub)), body)
+
+
 def test_at_most_two_targets_die_of_a_request_that_crashes_them():
     dead: set[str] = set()
 
