--- a/packages/firtrestle/firtrestle/joins.py
+++ b/packages/firtrestle/firtrestle/joins.py
@@ -19,6 +19,7 @@
 JOIN_TIMEOUT = Millis(500)
 RETRY_PAUSE = Millis(250)
 MEETINGS_AT_ONCE = 16
+MEETING_PAUSE = Millis(50)  # so that a large fleet's streams are not all open at once
 
 
 class Joiner:
@@ -70,5 +71,7 @@
         client = self._clients.get(PeerAddress(vm.host, vm.peer_port))
         async with limit:
             answer = await client.call(join, JOIN_TIMEOUT)
+            client.release()
+            await sleep(MEETING_PAUSE)
         if isinstance(answer, Done) and answer.ok:
             met.add(daemon_id)
--- a/packages/firtrestle/firtrestle/peers.py
+++ b/packages/firtrestle/firtrestle/peers.py
@@ -80,6 +80,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self._used = False
+        self._released = False
         self._clock = Clock()
         self._received_at = Millis(0)
         self._asked_at: Millis | None = None  # for a sign of life that has not come yet
@@ -102,9 +103,17 @@
                 started.cancel()
         return answers[0] if answers else PeerFailure(True, f"{self.address} took too long")
 
+    def release(self) -> None:
+        """Let the stream be closed soon unless another call comes."""
+        self._released = True
+
     def start(self, value: Any, deliver: Deliver) -> PeerCall:
         """Send a message; its answer, or a failure, is delivered once unless cancelled."""
         self._used = True
+        self._released = False
+        return self._start(value, deliver)
+
+    def _start(self, value: Any, deliver: Deliver) -> PeerCall:
         call = PeerCall(self, next(self._ids))
         self._deliver_by_id[call.id] = deliver
         frame = encode(call.id, value)
@@ -224,10 +233,11 @@
                 self._received_at = now  # this process slept, not the peer
                 self._asked_at = None
             ticked_at = now
-            if self._used or self._deliver_by_id:
+            if self._deliver_by_id or (self._used and not self._released):
                 self._used = False
                 used_at = now
-            if now - used_at > self._idle or self._is_silent(now):
+            idle = TICK if self._released else self._idle
+            if now - used_at > idle or self._is_silent(now):
                 break
         if self._outgoing is send:
             self._outgoing = None
@@ -240,7 +250,7 @@
             return False
         if self._asked_at is None:
             self._asked_at = now
-            self.start(AreYouThere(), _ignore)
+            self._start(AreYouThere(), _ignore)
         return now - self._asked_at > LONGEST_SILENCE
 
     def _fail_waiting(self) -> None:
--- a/packages/firtrestle/tests/test_peers.py
+++ b/packages/firtrestle/tests/test_peers.py
@@ -11,8 +11,9 @@
 
     finished = False
 
-    def __init__(self) -> None:
+    def __init__(self, deliver) -> None:
         self.cancelled = trio.Event()
+        self.deliver = deliver
 
     def cancel(self) -> None:
         self.cancelled.set()
@@ -31,7 +32,7 @@
     def start_sub(self, sub, deliver):
         if sub.shard == 1:
             deliver(SubReply("ok"))
-        self.held.append(Held())
+        self.held.append(Held(deliver))
         return self.held[-1]
 
     async def accept(self, stream: trio.SocketStream) -> None:
@@ -163,6 +164,24 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_released_stream_is_closed_soon_but_not_under_a_call():
+    async with trio.open_nursery() as nursery:
+        peer = Peer(nursery)
+        client = await peer.listen(idle=Millis(60_000))
+        held: list = []
+        client.start(SUB, held.append)
+        assert await client.call(Ping("d1"), Millis(5_000)) == Pong()
+        client.release()
+        await sleep(Millis(700))
+        assert peer.streams == 1
+        peer.held[0].deliver(SubReply("ok"))
+        with trio.fail_after(10):
+            while peer.streams:
+                await sleep(Millis(5))
+        assert held == [SubReply("ok")]
+        nursery.cancel_scope.cancel()
+
+
 async def test_bad_bytes_end_the_stream_and_harm_no_other():
     async with trio.open_nursery() as nursery:
         peer = Peer(nursery)
