--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Annotated, Any
@@ -22,7 +23,7 @@
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
 from firtrestle.events import EventKind, EventLog
 from firtrestle.fronts import Front, FrontState
-from firtrestle.gathers import GatherTools
+from firtrestle.gather_tools import GatherTools
 from firtrestle.holders import Holders
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.joins import Joiner
@@ -33,7 +34,8 @@
 from firtrestle.operator_routes import OperatorRoutes
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_calls import PeerCalls
-from firtrestle.peers import PeerClients, PeerFailure, PeerServer
+from firtrestle.peer_servers import PeerServer
+from firtrestle.peers import PeerClients, PeerFailure
 from firtrestle.platforms import DOCUMENT_PREFIX, DocumentWatcher
 from firtrestle.quarantines import Quarantines
 from firtrestle.replicas import Replicas
@@ -88,44 +90,18 @@
             f"{process}#{self.incarnation}", self.voters, self._call_voter, settings.claims, clock
         )
         quarantines = Quarantines(settings.quarantine, self.items, clock, events)
-        policies = settings.policies
-        tools = GatherTools(
-            clock=clock,
-            rng=rng,
-            events=events,
-            holders=self.holders,
-            replicas=Replicas(clock),
-            chooser=kernel.choosers.get(policies.chooser).from_config(settings.targets, clock, rng),
-            hedger=kernel.hedgers.get(policies.hedger).from_config(clock),
-            quarantines=quarantines,
-        )
-        self._tools = tools
-        admitter = kernel.admitters.get(policies.admitter).from_config(clock, rng)
+        self._tools = tools = self._build_tools(quarantines, rng)
+        admitter = kernel.admitters.get(settings.policies.admitter).from_config(clock, rng)
         self.state = FrontState(Catalogue())
         self._shares = Shares(self.voters, self._call_voter, clock, rng)
         self.front = Front(
             settings, self.state, tools, self._claims, admitter, self._shares, self._pauses
         )
-        self._catalogue_watcher = DocumentWatcher(
-            CATALOGUE,
-            settings.platform.configuration_service,
-            _catalogue_faults,
-            settings.platform,
-            self.items,
-            self.members,
-            clock,
-            rng,
-        )
-        self._vms_watcher = DocumentWatcher(
-            VMS,
-            settings.platform.vm_list,
-            _vm_list_faults,
-            settings.platform,
-            self.items,
-            self.members,
-            clock,
-            rng,
+        platform = settings.platform
+        self._catalogue_watcher = self._build_watcher(
+            CATALOGUE, platform.configuration_service, _catalogue_faults, rng
         )
+        self._vms_watcher = self._build_watcher(VMS, platform.vm_list, _vm_list_faults, rng)
         self._joiner = Joiner(
             me, self.voters, self._vms_watcher, self._clients, settings.platform, rng
         )
@@ -161,7 +137,33 @@
         self.items.listen(DOCUMENT_PREFIX + CATALOGUE, self._on_catalogue)
         self.items.listen(DOCUMENT_PREFIX + VMS, self._on_vms)
 
-    async def run(self, ready: Any = None) -> None:
+    def _build_tools(self, quarantines: Quarantines, rng: random.Random) -> GatherTools:
+        policies, clock = self.settings.policies, self.clock
+        chooser = self._kernel.choosers.get(policies.chooser)
+        return GatherTools(
+            clock=clock,
+            rng=rng,
+            events=self.events,
+            holders=self.holders,
+            replicas=Replicas(clock),
+            chooser=chooser.from_config(self.settings.targets, clock, rng),
+            hedger=self._kernel.hedgers.get(policies.hedger).from_config(clock),
+            quarantines=quarantines,
+        )
+
+    def _build_watcher(
+        self,
+        name: str,
+        address: str,
+        faults_of: Callable[[str, int], list[str]],
+        rng: random.Random,
+    ) -> DocumentWatcher:
+        platform = self.settings.platform
+        return DocumentWatcher(
+            name, address, faults_of, platform, self.items, self.members, self.clock, rng
+        )
+
+    async def run(self) -> None:
         """Serve until stopped; raise OSError when a port can't be had."""
         daemon = self.settings.daemon
         callers = await _listen(daemon.address, daemon.port)
@@ -181,8 +183,6 @@
         start(self._joiner.run)
         start(self._spread_credits)
         start(self._shares.run, lambda: self.state.catalogue)
-        if ready is not None:
-            ready.set()
         await self._wait_for_stop(listening)
 
     async def _accept(self, listener: Any, serve: Any, scope: trio.CancelScope) -> None:
--- /dev/null
+++ b/packages/firtrestle/firtrestle/frames.py
@@ -0,0 +1,31 @@
+"""Read and join the msgpack frames of a peer stream."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgpack
+import trio
+
+from firtrestle.messages import BadFrame, decode
+
+
+def unpack(unpacker: msgpack.Unpacker, data: bytes) -> Iterator[tuple[int, Any]]:
+    """Yield the messages that a chunk completes; raise BadFrame on bad bytes."""
+    try:
+        unpacker.feed(data)
+        for raw in unpacker:
+            yield decode(raw)
+    except (msgpack.UnpackException, ValueError) as error:
+        raise BadFrame(str(error)) from error
+
+
+def drain(receive: trio.MemoryReceiveChannel[bytes], first: bytes) -> bytes:
+    """Join all frames that wait, so that one write carries them."""
+    frames = [first]
+    try:
+        while True:
+            frames.append(receive.receive_nowait())
+    except (trio.WouldBlock, trio.EndOfChannel):
+        return b"".join(frames)
--- a/packages/firtrestle/firtrestle/fronts.py
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -14,7 +14,7 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.events import EventKind, EventLog
-from firtrestle.gathers import GatherTools
+from firtrestle.gather_tools import GatherTools
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.outcomes import SubOutcome
 from firtrestle.pauses import PauseGuard
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -4,7 +4,6 @@
 
 import itertools
 import math
-import random
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
@@ -13,19 +12,17 @@
 import trio
 
 from firtrestle import signals
-from firtrestle.budgets import ExtraLoadBudget
 from firtrestle.catalogues import Weighing
-from firtrestle.clocks import Clock, Millis, move_on_after
-from firtrestle.events import EventKind, EventLog
-from firtrestle.hedgers import Hedger, Progress
-from firtrestle.holders import FINISHED, Holders
+from firtrestle.clocks import Millis, move_on_after
+from firtrestle.events import EventKind
+from firtrestle.gather_tools import GatherTools
+from firtrestle.hedgers import Progress
+from firtrestle.holders import FINISHED
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
-from firtrestle.quarantines import Quarantines
 from firtrestle.queries import Gathered, MissingShard, Query
-from firtrestle.replica_choosers import ReplicaChooser
-from firtrestle.replicas import Replica, Replicas
+from firtrestle.replicas import Replica
 from firtrestle.snapshots import ReplicaId, Snapshot
 
 RETRY_PAUSE = Millis(30)
@@ -53,29 +50,6 @@
     sent: int
 
 
-@dataclass(slots=True)
-class GatherTools:
-    """Hold what all gathers of a daemon share."""
-
-    clock: Clock
-    rng: random.Random
-    events: EventLog
-    holders: Holders
-    replicas: Replicas
-    chooser: ReplicaChooser
-    hedger: Hedger
-    quarantines: Quarantines
-    budget_by_entry: dict[str, ExtraLoadBudget] = field(default_factory=dict)
-
-    def budget(self, entry_name: str, fraction: float) -> ExtraLoadBudget:
-        """Return the extra-load budget of an entry."""
-        budget = self.budget_by_entry.get(entry_name)
-        if budget is None or budget.fraction != fraction:
-            budget = ExtraLoadBudget(fraction, self.clock)
-            self.budget_by_entry[entry_name] = budget
-        return budget
-
-
 @dataclass(slots=True)
 class _Attempt:
     number: int
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -14,7 +14,8 @@
 from firtrestle.holders import Holders
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.members import Members, MemberStatus
-from firtrestle.peers import PeerClients, PeerServer
+from firtrestle.peer_servers import PeerServer
+from firtrestle.peers import PeerClients
 from firtrestle.platforms import REJECTED_PREFIX, DocumentWatcher
 from firtrestle.problems import problem_response
 from firtrestle.quarantines import Quarantines
--- a/packages/firtrestle/firtrestle/peers.py
+++ b/packages/firtrestle/firtrestle/peers.py
@@ -1,31 +1,21 @@
-"""Call other daemons over msgpack streams, and serve their calls."""
+"""Call other daemons over msgpack streams."""
 
 from __future__ import annotations
 
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-import msgpack
 import trio
 from loguru import logger
 
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
-from firtrestle.messages import (
-    AreYouThere,
-    BadFrame,
-    Cancel,
-    Done,
-    SubRequest,
-    decode,
-    encode,
-    new_unpacker,
-)
+from firtrestle.frames import drain, unpack
+from firtrestle.messages import AreYouThere, BadFrame, Cancel, encode, new_unpacker
 
 CHUNK_BYTES = 65_536
 MAX_QUEUED_FRAMES = 10_000
-MAX_CALLS_SERVED = 10_000
 CONNECT_TIMEOUT = Millis(300)
 TICK = Millis(200)
 GREETING_ID = 0
@@ -33,7 +23,6 @@
 LONGEST_IDLE = Millis(2_000)
 
 Deliver = Callable[[Any], None]
-ServeCall = Callable[[Any], Awaitable[Any]]
 
 
 class Cancellable(Protocol):
@@ -208,7 +197,7 @@
 
     async def _write(self, stream: trio.SocketStream, receive: Any) -> None:
         async for frame in receive:
-            batch = _drain(receive, frame)
+            batch = drain(receive, frame)
             self.bytes_sent += len(batch)
             await stream.send_all(batch)
 
@@ -218,7 +207,7 @@
             self.bytes_received += len(data)
             self._received_at = self._clock.now()
             self._asked_at = None
-            for call_id, value in _unpack(unpacker, data):
+            for call_id, value in unpack(unpacker, data):
                 deliver = self._deliver_by_id.pop(call_id, None)
                 if deliver is not None:
                     deliver(value)
@@ -285,119 +274,5 @@
         return self.by_address[address]
 
 
-StartSub = Callable[[SubRequest, Deliver], Cancellable]
-
-
-class PeerServer:
-    """Serve the calls of other daemons, one task for each stream."""
-
-    def __init__(self, serve_call: ServeCall, start_sub: StartSub) -> None:
-        self._serve_call = serve_call
-        self._start_sub = start_sub
-        self.frames_refused = 0
-        self.bytes_sent = 0
-        self.bytes_received = 0
-
-    async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one stream until it ends or breaks the protocol, then stop its calls."""
-        call_by_id: dict[int, Cancellable] = {}
-        send, receive = trio.open_memory_channel(MAX_QUEUED_FRAMES)
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._write, stream, receive)
-                await self._read(stream, nursery, call_by_id, send)
-                nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-        except* BadFrame as errors:
-            self.frames_refused += 1
-            logger.warning("a peer broke the protocol: {}", errors.exceptions[0])
-        finally:
-            for call in list(call_by_id.values()):
-                call.cancel()
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(stream)
-
-    async def _read(
-        self,
-        stream: trio.SocketStream,
-        nursery: trio.Nursery,
-        call_by_id: dict[int, Cancellable],
-        send: Any,
-    ) -> None:
-        unpacker = new_unpacker()
-        while data := await stream.receive_some(CHUNK_BYTES):
-            self.bytes_received += len(data)
-            for call_id, value in _unpack(unpacker, data):
-                self._start(call_id, value, nursery, call_by_id, send)
-
-    def _start(
-        self,
-        call_id: int,
-        value: Any,
-        nursery: trio.Nursery,
-        call_by_id: dict[int, Cancellable],
-        send: Any,
-    ) -> None:
-        def deliver(answer: Any) -> None:
-            call_by_id.pop(call_id, None)
-            _answer(send, call_id, answer)
-
-        if isinstance(value, Cancel):
-            call = call_by_id.pop(value.call_id, None)
-            if call is not None:
-                call.cancel()
-        elif len(call_by_id) >= MAX_CALLS_SERVED:
-            _answer(send, call_id, Done(False, "too many calls"))
-        elif isinstance(value, SubRequest):
-            call = self._start_sub(value, deliver)
-            if not getattr(call, "finished", False):
-                call_by_id[call_id] = call
-        else:
-            call_by_id[call_id] = scope = trio.CancelScope()
-            nursery.start_soon(self._serve_one, value, scope, deliver)
-
-    async def _serve_one(self, value: Any, scope: trio.CancelScope, deliver: Deliver) -> None:
-        with scope:
-            try:
-                deliver(await self._serve_call(value))
-            except Exception:
-                logger.exception("serving {} failed", type(value).__name__)
-                deliver(Done(False, "failed"))
-
-    async def _write(self, stream: trio.SocketStream, receive: Any) -> None:
-        async for frame in receive:
-            batch = _drain(receive, frame)
-            self.bytes_sent += len(batch)
-            await stream.send_all(batch)
-
-
 def _ignore(answer: Any) -> None:
     return
-
-
-def _answer(send: Any, call_id: int, value: Any) -> None:
-    try:
-        send.send_nowait(encode(call_id, value))
-    except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
-        logger.debug("an answer found no stream")
-
-
-def _unpack(unpacker: msgpack.Unpacker, data: bytes):
-    """Yield the messages that a chunk completes; raise BadFrame on bad bytes."""
-    try:
-        unpacker.feed(data)
-        for raw in unpacker:
-            yield decode(raw)
-    except (msgpack.UnpackException, ValueError) as error:
-        raise BadFrame(str(error)) from error
-
-
-def _drain(receive: Any, first: bytes) -> bytes:
-    """Join all frames that wait, so that one write carries them."""
-    frames = [first]
-    try:
-        while True:
-            frames.append(receive.receive_nowait())
-    except (trio.WouldBlock, trio.EndOfChannel):
-        return b"".join(frames)
--- a/packages/firtrestle/firtrestle/searches.py
+++ b/packages/firtrestle/firtrestle/searches.py
@@ -7,7 +7,8 @@
 from firtrestle.clocks import Millis, sleep
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.events import EventKind
-from firtrestle.gathers import Gather, GatherTools, Quarantined, SnapshotGone
+from firtrestle.gather_tools import GatherTools
+from firtrestle.gathers import Gather, Quarantined, SnapshotGone
 from firtrestle.queries import Gathered, Query
 from firtrestle.snapshots import Snapshot, build_snapshots, pin
 
--- a/packages/firtrestle/firtrestle/submits.py
+++ b/packages/firtrestle/firtrestle/submits.py
@@ -12,7 +12,7 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.events import EventKind
-from firtrestle.gathers import GatherTools
+from firtrestle.gather_tools import GatherTools
 from firtrestle.keys import issue_time
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
--- a/packages/firtrestle/tests/fakes.py
+++ b/packages/firtrestle/tests/fakes.py
@@ -10,7 +10,8 @@
 from firtrestle.catalogues import Canary, Entry, EntryKind, QueryClass, Weighing
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.events import EventLog
-from firtrestle.gathers import Gather, GatherTools
+from firtrestle.gather_tools import GatherTools
+from firtrestle.gathers import Gather
 from firtrestle.holders import FINISHED
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.plugins.hedgers import AdaptiveHedger
--- a/packages/firtrestle/tests/test_messages.py
+++ b/packages/firtrestle/tests/test_messages.py
@@ -1,7 +1,15 @@
 import msgpack
 import pytest
-from firtrestle.messages import BadFrame, Ping, SubReply, decode, encode, message_by_tag
-from firtrestle.peers import _unpack, new_unpacker
+from firtrestle.frames import unpack
+from firtrestle.messages import (
+    BadFrame,
+    Ping,
+    SubReply,
+    decode,
+    encode,
+    message_by_tag,
+    new_unpacker,
+)
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -37,7 +45,7 @@
 @given(st.binary(max_size=200))
 def test_random_bytes_never_do_more_than_bad_frame(data: bytes):
     try:
-        for call_id, value in _unpack(new_unpacker(), data):
+        for call_id, value in unpack(new_unpacker(), data):
             assert isinstance(call_id, int)
             assert type(value) in message_by_tag.values()
     except BadFrame:
--- a/packages/firtrestle/tests/test_peers.py
+++ b/packages/firtrestle/tests/test_peers.py
@@ -1,7 +1,8 @@
 import trio
 from firtrestle.clocks import Millis, sleep
 from firtrestle.messages import AreYouThere, Done, Ping, Pong, SubReply, SubRequest, encode
-from firtrestle.peers import PeerAddress, PeerClient, PeerFailure, PeerServer
+from firtrestle.peer_servers import PeerServer
+from firtrestle.peers import PeerAddress, PeerClient, PeerFailure
 
 SUB = SubRequest("r", 1, "t", "s", "c", 1, 0, "search", {}, 1_000)
 
