--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,7 +24,8 @@
     """Run one scenario, or all of them, and print the figures."""
     if scenario != ALL and scenario not in SCENARIO_BY_NAME:
         raise typer.BadParameter(f"choose one of {', '.join(SCENARIO_BY_NAME)} or all")
-    names = list(SCENARIO_BY_NAME) if scenario == ALL else [scenario]
+    every = [name for name, one in SCENARIO_BY_NAME.items() if one.in_all]
+    names = every if scenario == ALL else [scenario]
     for name in names:
         chosen = SCENARIO_BY_NAME[name]
         for each in chosen.policies if policy == BOTH else (policy,):
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +15,8 @@
 Script = Callable[[Rig], Awaitable[None]]
 
 TIMEOUT = Millis(2_000)
+SOAK_TROUBLES = 25
+SOAK_PAUSE = Millis(5_000)
 DESK = "/collections/desk"
 CATALOGUE = """
 entries:
@@ -49,6 +52,7 @@
     faults: dict[str, Any] = field(default_factory=dict)
     script: Script = _nothing
     policies: tuple[str, ...] = ("baseline", "chosen")
+    in_all: bool = True
 
     def catalogue(self) -> str:
         """Return the catalogue in force."""
@@ -131,6 +135,34 @@
     rig.kill("registry-2")
 
 
+async def _soak(rig: Rig) -> None:
+    """Break one thing after the other, from the rig's seed, and let each come back."""
+    rng = random.Random(f"soak/{rig.seed}")
+    catalogue = CATALOGUE.format(collection=REVIEW_DESK.collection)
+    for _ in range(SOAK_TROUBLES):
+        target = rng.choice(REVIEW_DESK.target_ids())
+        daemon = rng.choice(rig.daemons())
+        trouble = rng.choice(("target", "daemon", "slow", "freeze", "change"))
+        if trouble == "target":
+            rig.kill(target)
+            await sleep(SOAK_PAUSE)
+            rig.restart_target(target)
+        elif trouble == "daemon":
+            await rig.stop(daemon)
+            rig.start_daemon(daemon)
+        elif trouble == "slow":
+            await rig.control(target, slow_factor=8.0)
+            await sleep(SOAK_PAUSE)
+            await rig.control(target, slow_factor=1.0)
+        elif trouble == "freeze":
+            rig.freeze(daemon)
+            await sleep(SOAK_PAUSE)
+            rig.thaw(daemon)
+        else:
+            await rig.publish_catalogue(catalogue)
+        await sleep(SOAK_PAUSE)
+
+
 def _scenarios() -> list[Scenario]:
     straggle = {"straggle_share": 0.01, "straggle_factor": 20.0, "latency_ms": 30.0}
     return [
@@ -180,6 +212,15 @@
             rate_per_second=60.0,
             script=_lost_searcher,
         ),
+        Scenario(
+            "soak",
+            "five minutes of kills, stops, freezes, slow targets and changes",
+            rate_per_second=10.0,
+            seconds=300.0,
+            script=_soak,
+            policies=("chosen",),
+            in_all=False,
+        ),
     ]
 
 
