--- a/bench/overheads.py
+++ b/bench/overheads.py
@@ -125,7 +125,8 @@
     async def call_on(ask: Ask) -> None:
         nonlocal answered
         while True:
-            answered += await ask()
+            good = await ask()  # before the sum is read, since other callers add meanwhile
+            answered += good
 
     async with trio.open_nursery() as nursery:
         for _ in range(CALLERS):
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -27,7 +27,7 @@
 
 RETRY_PAUSE = Millis(30)
 SUSPECT_PAUSE = Millis(100)  # for all daemons to hear of a suspect before it is tried again
-HEDGE_RECHECK = Millis(1)
+HEDGE_RECHECK = Millis(20)  # after a hedge that was due was not sent
 LONGEST_PAUSE = Millis(300)
 MAX_TRIES_PER_SHARD = 30
 LATENCY_SHARE = 0.5  # of the time, after which an entry that weighs latency stops waiting
@@ -97,6 +97,7 @@
         self._waiting_shards: deque[int] = deque()
         self._latencies: list[Millis] = []
         self._given_up: list[Millis] = []
+        self._no_hedge_before = Millis(0)
         self._started_at = tools.clock.now()
         self._send, self._receive = trio.open_memory_channel(math.inf)
         self._again_at_by_shard: dict[int, Millis] = {}
@@ -362,8 +363,7 @@
             return stop_at
         candidates = [s.attempts[0].sent_at for s in self._hedgeable()]
         due = min(candidates, default=stop_at) + delay
-        soonest = self._tools.clock.now() + HEDGE_RECHECK
-        return Millis(min(stop_at, max(due, soonest)))
+        return Millis(min(stop_at, max(due, self._no_hedge_before)))
 
     def _hedge_delay(self) -> Millis | None:
         shards = len(self._snapshot.documents_by_shard) - len(self._waiting_shards)
@@ -382,6 +382,7 @@
         if delay is None or self._is_suspect():
             return
         now = self._tools.clock.now()
+        self._no_hedge_before = Millis(now + HEDGE_RECHECK)
         for state in self._hedgeable():
             if now - state.attempts[0].sent_at < delay:
                 continue
--- a/packages/firtrestle/tests/test_gathers.py
+++ b/packages/firtrestle/tests/test_gathers.py
@@ -157,6 +157,25 @@
     run_with(behave, body)
 
 
+def test_a_late_shard_that_may_not_be_hedged_costs_no_busy_loop():
+    """A query once looked every millisecond whether a hedge was possible now."""
+    asked: list[int] = []
+
+    def behave(sub):
+        return (LATE if sub.shard == 3 else 5), good_reply(sub)
+
+    async def body(tools, holders):
+        for _ in range(10):
+            tools.hedger.learn("c", [5.0] * 20)
+        delay = tools.hedger.delay
+        tools.hedger.delay = lambda progress: asked.append(1) or delay(progress)
+        result = await run_gather(tools, snapshot(20), extra_load=0.0)
+        assert result.whole
+        assert len(asked) < 100  # two looks for each 20 ms of the straggler's 500, and the replies
+
+    run_with(behave, body)
+
+
 def test_a_version_that_went_ends_the_scatter_for_a_newer_one():
     def behave(sub):
         if sub.shard == 2:
