Say that a query ran only when a shard answered it

Cause: a refusal after any attempt said ran: true, also when no target was reached. Change: true with an answered shard, unknown after an attempt, false before any. Before: test_a_query_that_reached_no_target_is_not_said_to_have_run red (true). After: green.

--- a/packages/firtrestle/firtrestle/plugins/credits.py
+++ b/packages/firtrestle/firtrestle/plugins/credits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from firtrestle import signals
@@ -11,7 +12,7 @@
     from firtrestle.kernels import Kernel
 
 
-def _count(ledger: CreditLedger):
+def _count(ledger: CreditLedger) -> Callable[..., None]:
     def on_answer(entry_name: str, query: Any, **_: Any) -> None:
         ledger.count(entry_name, query.entry.owner, str(query.entry.kind))
 
--- a/packages/firtrestle/firtrestle/searches.py
+++ b/packages/firtrestle/firtrestle/searches.py
@@ -91,7 +91,9 @@
     def _checked(self, query: Query, result: Gathered, sent: int) -> Gathered | Refused:
         """Refuse an answer that covers less than its entry accepts."""
         result.sent = sent
-        ran = Ran.TRUE if sent else Ran.FALSE
+        ran = Ran.UNKNOWN if sent else Ran.FALSE
+        if result.covered_by_shard:
+            ran = Ran.TRUE
         if result.coverage < query.entry.least_coverage:
             detail = f"{result.covered} of {result.snapshot.total_documents} documents"
             return Refused(ErrorKind.TOO_LITTLE_COVERAGE, ran, detail)
