Lease a target's slots to its holder; one canary at a time; retry a lost holder free

Ruled out: a pause check alone (the split has no pause), a majority lease (a side of a split would get nothing of a target that it reaches).

Readiness waits for the daemon's own lots and for a first lease.

Found on the way, each with a test that was red first: - a request killed four targets: canaries that waited for a holder added up. Now one is under way at a time and the shards take turns. - a query refused as no-target in a split: HOLDER_LOST retries used up the budget for extra load. The first one of a shard is free now, since at most what was in flight at the holder has reached a target. - two suspects at one target could both be blamed: a lane runs one at a time. - an innocent twin of a suspect was refused while the suspect was on trial; it waits for the trial now. - a target let go between the keeper's step and its task ended the daemon.

--- a/packages/firtrestle-standins/tests/test_rigs.py
+++ b/packages/firtrestle-standins/tests/test_rigs.py
@@ -191,6 +191,7 @@
         rig.start_daemon("d1")
         await sleep(Millis(3_000))
         await wait_for(rig, 3)
+        await rig.wait_until_ready()
         await rig.control("platform", down=True)
         rig.kill("d2")
         rig.start_daemon("d2")
--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -28,6 +28,8 @@
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.joins import Joiner
 from firtrestle.kernels import Kernel, UnknownPolicy
+from firtrestle.lease_keepers import LeaseKeeper
+from firtrestle.leases import LeaseTable, LotOwners
 from firtrestle.logs import configure_logs
 from firtrestle.members import Members
 from firtrestle.messages import Borrow, Loan
@@ -78,16 +80,21 @@
         self.members = Members(
             me, settings.peers, self._spreader, self._clients, clock, events, rng
         )
-        self.holders = Holders(
-            self.members, self.items, settings.targets, clock, events, nursery, rng
-        )
         self._pauses = PauseGuard(
             clock, events, Millis(settings.peers.pause_ms), self.members.refresh
         )
-        self.voters = Voters(process, me.address, settings.claims, clock)
+        self.voters = Voters(process, me.address, settings.claims, clock, me.data_centre)
+        own_name = f"{process}#{self.incarnation}"
         self._table = KeyTable(self.voters, settings.claims, clock)
-        self._claims = Claims(
-            f"{process}#{self.incarnation}", self.voters, self._call_voter, settings.claims, clock
+        self._claims = Claims(own_name, self.voters, self._call_voter, settings.claims, clock)
+        targets = settings.targets
+        lot_owners = LotOwners(self.voters, clock)
+        self._leases = LeaseTable(self.voters, lot_owners, targets, clock)
+        self._lease_keeper = LeaseKeeper(
+            own_name, lot_owners, self._call_voter, targets, clock, nursery, rng
+        )
+        self.holders = Holders(
+            self.members, self.items, targets, self._lease_keeper, clock, events, nursery, rng
         )
         quarantines = Quarantines(settings.quarantine, self.items, clock, events)
         self._tools = tools = self._build_tools(quarantines, rng)
@@ -114,6 +121,7 @@
             self._claims,
             self._pauses,
             self._lend,
+            self._leases,
         )
         self._peer_server = PeerServer(self._peer_calls.serve, self._peer_calls.start_sub)
         self._routes = OperatorRoutes(
@@ -124,6 +132,8 @@
             self.voters,
             quarantines,
             self._shares,
+            self._leases,
+            self._lease_keeper,
             events,
             [self._catalogue_watcher, self._vms_watcher],
             self._clients,
@@ -177,6 +187,7 @@
         start(self._spreader.push_changes, self.members.live_peers, self.members.call)
         start(self.members.run)
         start(self.holders.run)
+        start(self._lease_keeper.run)
         start(self._pauses.run)
         start(self._vms_watcher.run, True)
         start(self._catalogue_watcher.run, False)
--- a/packages/firtrestle/firtrestle/fronts.py
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -11,7 +11,7 @@
 from firtrestle.admitters import Admitter, Arrival
 from firtrestle.catalogues import Catalogue, Entry, EntryKind, QueryClass
 from firtrestle.claims import Claims
-from firtrestle.clocks import Clock, Millis
+from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.events import EventKind, EventLog
 from firtrestle.gather_tools import GatherTools
@@ -31,6 +31,7 @@
 PRIORITY_HEADER = "priority"
 KEY_HEADER = "idempotency-key"
 MAX_ID_LENGTH = 128
+TRIAL_POLL = Millis(20)
 URGENT_LEVELS = ("u=0", "u=1", "u=2")  # of RFC 9218
 OVERLOAD_OUTCOMES = (SubOutcome.SHED, SubOutcome.DEADLINE)
 OVERLOAD_KINDS = (ErrorKind.OVERLOADED, ErrorKind.DEADLINE_PASSED)
@@ -102,6 +103,7 @@
         if isinstance(query, Refused):
             return self._refuse(query, request_id, entry.name)
         await self._pauses.settle()
+        await self._wait_for_trial(query)
         left = Millis(query.give_up_at - self._clock.now())
         self._shares.note_arrival(entry)
         arrival = Arrival(entry, query.urgent, left, self._shares.part(entry))
@@ -170,6 +172,13 @@
             return Refused(ErrorKind.BAD_REQUEST, detail=detail)
         return Millis(min(int(raw), self._settings.front.max_timeout_ms))
 
+    async def _wait_for_trial(self, query: Query) -> None:
+        """Wait, as long as there is time, for the end of the same request's trial as a suspect."""
+        while self._tools.quarantines.is_on_trial(query.fingerprint):
+            if self._clock.now() >= query.give_up_at:
+                return
+            await sleep(TRIAL_POLL)
+
     def _held_off(self, query: Query) -> Refused | None:
         left = self._tools.quarantines.time_left(query.fingerprint)
         if left is None:
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -31,7 +31,9 @@
 LONGEST_PAUSE = Millis(300)
 MAX_TRIES_PER_SHARD = 30
 LATENCY_SHARE = 0.5  # of the time, after which an entry that weighs latency stops waiting
-SAME_REPLICA_AGAIN = frozenset({SubOutcome.UNREACHABLE, SubOutcome.NOT_HOLDER})
+SAME_REPLICA_AGAIN = frozenset(
+    {SubOutcome.UNREACHABLE, SubOutcome.NOT_HOLDER, SubOutcome.HOLDER_LOST}
+)
 FINAL = frozenset({SubOutcome.DEADLINE, SubOutcome.CANCELLED})
 
 
@@ -78,6 +80,7 @@
     tried: set[ReplicaId] = field(default_factory=set)
     attempts: list[_Attempt] = field(default_factory=list)
     hedged: bool = False
+    lost_holder: bool = False
     last_failure: SubOutcome = SubOutcome.DEADLINE
 
 
@@ -152,13 +155,14 @@
         for shard in shards:
             self._send_or_miss(shard)
 
-    def _send_or_miss(self, shard: int) -> None:
-        if not self._send_next(shard):
+    def _send_or_miss(self, shard: int, repeat: bool = False) -> None:
+        if not self._send_next(shard, repeat):
             self._miss(shard, SubOutcome.NO_REPLICA)
 
     def _release_waiting(self) -> None:
         while self._waiting_shards:
-            self._send_or_miss(self._waiting_shards.popleft())
+            shard = self._waiting_shards.popleft()
+            self._send_or_miss(shard, repeat=self._open_by_shard[shard].tries > 0)
 
     def _replace_canary(self) -> None:
         """Go on after a canary failed: with one more if a target died, else with all."""
@@ -167,11 +171,6 @@
         elif self._waiting_shards:
             self._send_later(self._waiting_shards.popleft(), SUSPECT_PAUSE)
 
-    def _replace_stuck_canary(self) -> None:
-        """Send another canary while one waits for its target to be reached."""
-        if self._waiting_shards and not any(s.attempts for s in self._open_by_shard.values()):
-            self._send_or_miss(self._waiting_shards.popleft())
-
     def _send_next(self, shard: int, repeat: bool = False) -> bool:
         """Send a shard's sub-request to its best untried replica; return whether there is one."""
         state = self._open_by_shard[shard]
@@ -218,6 +217,7 @@
             budget_ms=max(0.0, query.give_up_at - self._tools.clock.now()),
             urgent=query.urgent,
             fingerprint=query.fingerprint,
+            suspect=self._is_suspect(),
         )
 
     def _take(self, attempt: _Attempt, reply: SubReply) -> None:
@@ -284,13 +284,13 @@
         if outcome is SubOutcome.DIED and self._is_suspect():
             self._retry_suspect(state)
             return
-        if self._may_retry(reply, outcome) and self._send_next(state.number):
+        may_retry = self._may_retry(state, reply, outcome)
+        if may_retry and self._send_next(state.number):
             return
         if outcome is SubOutcome.SNAPSHOT_GONE and self._may_move:
             self._ended = SnapshotGone(self._snapshot.version, self._result.sent)
-        elif outcome in SAME_REPLICA_AGAIN and not reply.sent:
-            self._send_later(state.number, Millis(min(RETRY_PAUSE * state.tries, LONGEST_PAUSE)))
-            self._replace_stuck_canary()
+        elif may_retry and outcome in SAME_REPLICA_AGAIN:
+            self._reach_later(state)
         else:
             self._miss(state.number, outcome)
 
@@ -305,9 +305,22 @@
             return True
         return False
 
-    def _may_retry(self, reply: SubReply, outcome: SubOutcome) -> bool:
+    def _reach_later(self, state: _Shard) -> None:
+        """Try a shard again after a pause; where shards wait for it, one of them takes its turn."""
+        pause = Millis(min(RETRY_PAUSE * state.tries, LONGEST_PAUSE))
+        self._waiting_shards.append(state.number)
+        if len(self._waiting_shards) > 1:
+            pause = RETRY_PAUSE
+        self._send_later(self._waiting_shards.popleft(), pause)
+
+    def _may_retry(self, state: _Shard, reply: SubReply, outcome: SubOutcome) -> bool:
         """Say whether another try is free, or paid from the budget."""
-        return not reply.sent or outcome is SubOutcome.DRAINING or self._budget.spend_on_retry()
+        if not reply.sent or outcome is SubOutcome.DRAINING:
+            return True
+        if outcome is SubOutcome.HOLDER_LOST and not state.lost_holder:
+            state.lost_holder = True  # at most what was in flight there has reached a target
+            return True
+        return self._budget.spend_on_retry()
 
     def _is_suspect(self) -> bool:
         return self._tools.quarantines.is_suspect(self._query.fingerprint)
--- a/packages/firtrestle/firtrestle/holders.py
+++ b/packages/firtrestle/firtrestle/holders.py
@@ -12,6 +12,8 @@
 from firtrestle.events import EventKind, EventLog
 from firtrestle.http_clients import HttpFailure, HttpReply
 from firtrestle.lanes import Lane, keep_warm
+from firtrestle.lease_keepers import LeaseKeeper
+from firtrestle.leases import TargetLease
 from firtrestle.manifests import Manifests
 from firtrestle.members import Members
 from firtrestle.messages import SubReply, SubRequest
@@ -31,6 +33,7 @@
 
 PROBES_UNTIL_DOWN = 2
 WATCH_PAUSE = Millis(100)
+DRAIN_POLL = Millis(20)
 
 
 class _Finished:
@@ -63,6 +66,7 @@
         members: Members,
         items: SpreadMap,
         settings: TargetSettings,
+        keeper: LeaseKeeper,
         clock: Clock,
         events: EventLog,
         nursery: trio.Nursery,
@@ -75,11 +79,13 @@
         self._members = members
         self._items = items
         self._settings = settings
+        self._keeper = keeper
         self._clock = clock
         self._events = events
         self._nursery = nursery
         self._rng = rng
         self._held_by_id: dict[str, _Held] = {}
+        self._draining_by_id: dict[str, Lane] = {}
         self._holder_by_target: dict[str, str | None] = {}
         self._holder_version = (-1, -1)
         self._list_version = 0
@@ -186,12 +192,17 @@
         for target_id in set(self._held_by_id) - mine:
             held = self._held_by_id.pop(target_id)
             held.scope.cancel()
-            held.lane.close()
+            self._drain(target_id, held.lane)
         for target_id in mine - set(self._held_by_id):
             self._hold(self.vm_by_id[target_id])
 
     def _hold(self, vm: Vm) -> None:
-        lane = Lane(vm, self._settings, self._clock, self._nursery)
+        lane = self._draining_by_id.pop(vm.id, None)
+        if lane is None:
+            lane = Lane(vm, TargetLease(), self._settings, self._clock, self._nursery)
+            self._keeper.hold(vm.id, lane.lease, lane.take_leases)
+        else:
+            lane.reopen()
         report = self.report_by_target.get(vm.id)
         if report is not None and report.state is not TargetState.DOWN:
             lane.report = report
@@ -199,6 +210,19 @@
         self._held_by_id[vm.id] = held
         self._nursery.start_soon(self._watch, held)
 
+    def _drain(self, target_id: str, lane: Lane) -> None:
+        lane.close()
+        self._draining_by_id[target_id] = lane
+        self._nursery.start_soon(self._return_leases, target_id, lane)
+
+    async def _return_leases(self, target_id: str, lane: Lane) -> None:
+        """Give the leases back once nothing runs under them, unless the lane is in use again."""
+        while lane.in_flight:
+            await sleep(DRAIN_POLL)
+        if self._draining_by_id.get(target_id) is lane:
+            del self._draining_by_id[target_id]
+            self._keeper.drop(target_id)
+
     async def _watch(self, held: _Held) -> None:
         with held.scope:
             async with trio.open_nursery() as nursery:
--- a/packages/firtrestle/firtrestle/lanes.py
+++ b/packages/firtrestle/firtrestle/lanes.py
@@ -14,6 +14,7 @@
 
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
 from firtrestle.http_clients import HttpConnection, HttpFailure, HttpReply
+from firtrestle.leases import LOTS, TargetLease
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
 from firtrestle.settings import TargetSettings
@@ -22,6 +23,7 @@
 
 SERVICE_SAMPLES = 32
 CONNECT_TIMEOUT = Millis(1_000)
+FIRST_LEASE_TIME = Millis(300)
 DEADLINE_HEADER = "Request-Timeout-Ms"
 
 Deliver = Callable[[SubReply], None]
@@ -62,9 +64,15 @@
     """Queue, send and cancel the sub-requests of one held target."""
 
     def __init__(
-        self, vm: Vm, settings: TargetSettings, clock: Clock, nursery: trio.Nursery
+        self,
+        vm: Vm,
+        lease: TargetLease,
+        settings: TargetSettings,
+        clock: Clock,
+        nursery: trio.Nursery,
     ) -> None:
         self.vm = vm
+        self.lease = lease
         self.report: TargetReport | None = None
         self.in_flight_by_searcher: dict[str, int] = {}
         self.open_connections = 0
@@ -76,6 +84,8 @@
         self._order = itertools.count()
         self._service_times: deque[Millis] = deque(maxlen=SERVICE_SAMPLES)
         self._closed = False
+        self._suspect_runs = False
+        self._opened_at = clock.now()
 
     @property
     def connection_share(self) -> int:
@@ -87,7 +97,17 @@
     @property
     def queue_length(self) -> int:
         """Return the sub-requests that wait or run."""
-        return len(self._queue) + sum(self.in_flight_by_searcher.values())
+        return len(self._queue) + self.in_flight
+
+    @property
+    def in_flight(self) -> int:
+        """Return the sub-requests that run, each with a slot."""
+        return sum(self.in_flight_by_searcher.values())
+
+    @property
+    def leased_lots(self) -> int:
+        """Return how many of the target's lots may be used now."""
+        return self.lease.slots(LOTS, self._clock.now())
 
     def start(self, sub: SubRequest, deliver: Deliver) -> LaneCall:
         """Queue a sub-request; its reply is delivered once, unless the call is cancelled."""
@@ -105,12 +125,21 @@
         if call.started and not call.sub.key:
             self._nursery.start_soon(self._cancel_at_target, call.sub)
 
+    def take_leases(self) -> None:
+        """Go on with what waits, or give it back when no slot is leased any more."""
+        if self._lacks_lease():
+            self._give_up_queue()
+        self._dispatch()
+
+    def reopen(self) -> None:
+        """Take calls again; what has run on since the close still counts."""
+        self._closed = False
+        self._opened_at = self._clock.now()
+
     def close(self) -> None:
         """Refuse what waits and close what is idle; what runs goes on."""
         self._closed = True
-        for _, _, call in self._queue:
-            call.finish(_empty(call.sub, SubOutcome.NOT_HOLDER))
-        self._queue.clear()
+        self._give_up_queue()
         idle, self._idle = self._idle, []
         for connection in idle:
             self._nursery.start_soon(self._close_connection, connection)
@@ -138,9 +167,19 @@
                 return
             self._give_back(connection)
 
+    def _give_up_queue(self) -> None:
+        for _, _, call in self._queue:
+            call.finish(_empty(call.sub, SubOutcome.NOT_HOLDER, "no slot is leased"))
+        self._queue.clear()
+
+    def _lacks_lease(self) -> bool:
+        """Say whether no slot is leased, though there was time to ask for one."""
+        now = self._clock.now()
+        return not self.leased_lots and now - self._opened_at > FIRST_LEASE_TIME
+
     def _refusal(self, sub: SubRequest) -> SubReply | None:
-        if self._closed or self.report is None:
-            return _empty(sub, SubOutcome.NOT_HOLDER)
+        if self._closed or self.report is None or self._lacks_lease():
+            return _empty(sub, SubOutcome.NOT_HOLDER, "no slot is leased")
         searcher = self.report.by_searcher.get(sub.searcher)
         if searcher is None:
             return _empty(sub, SubOutcome.SNAPSHOT_GONE)
@@ -157,7 +196,8 @@
         if not self._service_times or not ahead:
             return Millis(0)
         mean = sum(self._service_times) / len(self._service_times)
-        return Millis(mean * (ahead + 1) / slots)
+        leased = max(1, self.lease.slots(slots, self._clock.now()))
+        return Millis(mean * (ahead + 1) / leased)
 
     def _dispatch(self) -> None:
         """Start each waiting call whose searcher has a free slot."""
@@ -166,7 +206,7 @@
 
     def _take_next(self) -> LaneCall | None:
         """Take the first waiting call that may run now, and its slot."""
-        if sum(self.in_flight_by_searcher.values()) >= self.connection_share:
+        if self.in_flight >= self.connection_share:
             return None
         held_back: list[tuple[int, int, LaneCall]] = []
         taken: LaneCall | None = None
@@ -175,7 +215,7 @@
             call = entry[2]
             if call.finished or self._is_late(call):
                 continue
-            if self._slot_is_free(call.sub.searcher):
+            if self._may_run(call.sub):
                 taken = call
             else:
                 held_back.append(entry)
@@ -184,6 +224,7 @@
         if taken is not None:
             name = taken.sub.searcher
             self.in_flight_by_searcher[name] = self.in_flight_by_searcher.get(name, 0) + 1
+            self._suspect_runs = self._suspect_runs or taken.sub.suspect
         return taken
 
     def _is_late(self, call: LaneCall) -> bool:
@@ -192,10 +233,19 @@
         call.finish(_empty(call.sub, SubOutcome.DEADLINE))
         return True
 
+    def _may_run(self, sub: SubRequest) -> bool:
+        """Say whether a slot is free; suspects run one by one, so that a death tells which."""
+        if sub.suspect and self._suspect_runs:
+            return False
+        return self._slot_is_free(sub.searcher)
+
     def _slot_is_free(self, name: str) -> bool:
+        return self.in_flight_by_searcher.get(name, 0) < self._leased_slots(name)
+
+    def _leased_slots(self, name: str) -> int:
         searcher = self.report.by_searcher.get(name) if self.report else None
         slots = searcher.slots if searcher is not None else 1
-        return self.in_flight_by_searcher.get(name, 0) < slots
+        return self.lease.slots(slots, self._clock.now())
 
     async def _serve(self, first: LaneCall) -> None:
         """Run a call and then those that wait, on one connection after the other."""
@@ -205,6 +255,8 @@
                 await self._serve_one(call)
             finally:
                 self.in_flight_by_searcher[call.sub.searcher] -= 1
+                if call.sub.suspect:
+                    self._suspect_runs = False
             call = self._take_next()
 
     async def _serve_one(self, call: LaneCall) -> None:
@@ -218,16 +270,24 @@
 
     async def _exchange(self, call: LaneCall, connection: HttpConnection) -> None:
         """Send the call and hold its slot until the target replied or confirmed a cancel."""
-        budget = Millis(call.give_up_at - self._clock.now())
-        if call.finished or budget <= 0:
+        now = self._clock.now()
+        wanted = Millis(call.give_up_at - now)
+        budget = min(wanted, Millis(self.lease.run_until(now) - now))
+        if call.finished or wanted <= 0:
             call.finish(self._reply(call, SubOutcome.DEADLINE))
             self._give_back(connection)
             return
+        if self.in_flight_by_searcher[call.sub.searcher] > self._leased_slots(call.sub.searcher):
+            call.finish(self._reply(call, SubOutcome.NOT_HOLDER, "the lease is over"))
+            self._give_back(connection)
+            return
         call.started = True
         try:
             with move_on_after(Millis(budget + self._settings.cancel_grace_ms)):
                 answer = _read_reply(call.sub, await self._send(call.sub, connection, budget))
                 answer.queue = len(self._queue)
+                if answer.outcome == SubOutcome.DEADLINE and budget < wanted:
+                    answer.reason = "it ran longer than longest_run_ms"
                 if answer.outcome == SubOutcome.BAD_REPLY:
                     connection.usable = False
                 call.finish(answer)
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -168,6 +168,34 @@
     part: float
 
 
+@message("ask-leases")
+@dataclass(slots=True)
+class AskLeases:
+    """Ask for a lease on the lots that a daemon owns of each of some targets."""
+
+    holder: str
+    number: int
+    targets: list[str] = field(default_factory=list)
+
+
+@message("leases")
+@dataclass(slots=True)
+class Leases:
+    """Grant lots of targets for a time that both sides know."""
+
+    lots_by_target: dict[str, list[int]] = field(default_factory=dict)
+
+
+@message("return-leases")
+@dataclass(slots=True)
+class ReturnLeases:
+    """Give back what was asked for up to a number."""
+
+    holder: str
+    number: int
+    targets: list[str] = field(default_factory=list)
+
+
 @message("sub-request")
 @dataclass(slots=True)
 class SubRequest:
@@ -186,6 +214,7 @@
     urgent: bool = False
     key: str = ""
     fingerprint: str = ""
+    suspect: bool = False
 
 
 @message("sub-reply")
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -13,6 +13,8 @@
 from firtrestle.fronts import Front
 from firtrestle.holders import Holders
 from firtrestle.http_servers import HttpRequest, HttpResponse
+from firtrestle.lease_keepers import LeaseKeeper
+from firtrestle.leases import LeaseTable
 from firtrestle.members import Members, MemberStatus
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import PeerClients
@@ -40,6 +42,8 @@
     voters: Voters
     quarantines: Quarantines
     shares: Shares
+    leases: LeaseTable
+    lease_keeper: LeaseKeeper
     events: EventLog
     watchers: list[DocumentWatcher]
     clients: PeerClients
@@ -69,7 +73,8 @@
         """Say whether callers should be sent here."""
         state = self.front.state
         serving = state.catalogue.revision > 0 and not state.stopping
-        return serving and self.shares.has_own_part()
+        leased = self.leases.is_ready() and self.lease_keeper.is_ready()
+        return serving and self.shares.has_own_part() and leased
 
     def status(self) -> dict[str, Any]:
         """Return what `firtrestle status` shows."""
@@ -114,6 +119,7 @@
                     "connection_share": lane.connection_share,
                     "queue": lane.queue_length,
                     "in_flight": lane.in_flight_by_searcher,
+                    "leased_lots": lane.leased_lots,
                 }
                 for target_id, lane in sorted(self.holders.held_targets().items())
             },
--- a/packages/firtrestle/firtrestle/peer_calls.py
+++ b/packages/firtrestle/firtrestle/peer_calls.py
@@ -8,10 +8,12 @@
 
 from firtrestle.claims import Claims, KeyTable
 from firtrestle.holders import FINISHED, Holders
+from firtrestle.leases import LeaseTable
 from firtrestle.members import Members
 from firtrestle.messages import (
     AreYouThere,
     AskKey,
+    AskLeases,
     Borrow,
     Claim,
     Done,
@@ -20,6 +22,7 @@
     Ping,
     PingFor,
     Pull,
+    ReturnLeases,
     Settle,
     SubReply,
     SubRequest,
@@ -44,6 +47,7 @@
         claims: Claims,
         pauses: PauseGuard,
         lend: Callable[[Borrow], Loan],
+        leases: LeaseTable,
     ) -> None:
         self._spreader = spreader
         self._members = members
@@ -53,6 +57,7 @@
         self._claims = claims
         self._pauses = pauses
         self._lend = lend
+        self._leases = leases
         self.running = 0
 
     async def serve(self, value: Any) -> Any:
@@ -104,6 +109,14 @@
     async def _(self, value: Borrow) -> Any:
         return self._lend(value)
 
+    @_answer.register
+    async def _(self, value: AskLeases) -> Any:
+        return self._leases.grant(value)
+
+    @_answer.register
+    async def _(self, value: ReturnLeases) -> Any:
+        return self._leases.take_back(value)
+
     def start_sub(self, sub: SubRequest, deliver: Deliver) -> Cancellable:
         """Run a sub-request for another daemon's front."""
         if self._pauses.was_paused():
--- a/packages/firtrestle/firtrestle/quarantines.py
+++ b/packages/firtrestle/firtrestle/quarantines.py
@@ -103,6 +103,13 @@
     def _on_alert(self, entry_name: str) -> bool:
         return self._clock.now() < self._alert_until_by_entry.get(entry_name, Millis(0))
 
+    def is_on_trial(self, fingerprint: str) -> bool:
+        """Say whether some daemon tries the request, after a target died, and may yet clear it."""
+        quarantine = self._items.by_key.get(QUARANTINE_PREFIX + fingerprint)
+        if quarantine is not None and quarantine.stamp > self._clock.wall():
+            return False
+        return self.time_left(fingerprint) is not None
+
     def time_left(self, fingerprint: str) -> Millis | None:
         """Return how long a request is still held off, here or while a peer tries it, or None."""
         for prefix in (QUARANTINE_PREFIX, SUSPECT_PREFIX):
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -72,6 +72,9 @@
     idle_connections: int = Field(2, ge=0, description="connections kept warm for each target")
     connection_share: float = Field(0.5, gt=0, le=1, description="part of a limit a holder uses")
     cancel_grace_ms: int = Field(500, ge=1, description="time for a target to confirm, ms")
+    longest_run_ms: int = Field(
+        2_000, ge=1, description="time that one sub-request may run at a target, ms"
+    )
     slow_start_ms: int = Field(2_000, ge=0, description="warm-up of a new target, ms")
 
 
--- a/packages/firtrestle/firtrestle/shares.py
+++ b/packages/firtrestle/firtrestle/shares.py
@@ -18,7 +18,7 @@
 from firtrestle.catalogues import Catalogue, Entry
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, sleep
 from firtrestle.messages import Borrow, Loan
-from firtrestle.voters import Voters
+from firtrestle.voters import LONGEST_WAIT, Voters
 
 ESTABLISHED_PART = 0.95  # of the limit, over all daemons that every other one knows
 NEWCOMER_PART = 0.05  # of an equal part, for a daemon that others may not know yet
@@ -29,7 +29,6 @@
 DEMAND_WINDOW = Millis(1_000)
 HEADROOM = 1.25  # of the demand, that a lender keeps and a borrower asks for
 LENDERS_ASKED = 16  # at most, in one period
-LONGEST_WAIT = Millis(15_000)  # of a starting daemon for its own part
 LEAST_LOAN = 0.002  # of the limit
 
 CallDaemon = Callable[[str, Any], Awaitable[Any]]
--- a/packages/firtrestle/firtrestle/voters.py
+++ b/packages/firtrestle/firtrestle/voters.py
@@ -12,10 +12,13 @@
 from firtrestle.settings import ClaimSettings
 from firtrestle.vm_lists import VmList
 
+LONGEST_WAIT = Millis(15_000)  # of a starting daemon for its part of what daemons share
+
 
 @dataclass(slots=True)
 class _Voter:
     address: PeerAddress
+    data_centre: str
     joined_at: Millis
     listed: bool
 
@@ -36,12 +39,21 @@
     which lists it late but never drops it while it runs, has dropped it.
     """
 
-    def __init__(self, my_id: str, address: PeerAddress, settings: ClaimSettings, clock: Clock):
+    def __init__(
+        self,
+        my_id: str,
+        address: PeerAddress,
+        settings: ClaimSettings,
+        clock: Clock,
+        data_centre: str = "",
+    ) -> None:
         self.my_id = my_id
         self.established_at: Millis | None = None
+        self.version = 0
         self._settings = settings
         self._clock = clock
-        self._by_id = {my_id: _Voter(address, clock.wall(), listed=False)}
+        self._by_id = {my_id: _Voter(address, data_centre, clock.wall(), listed=False)}
+        self._data_centre_by_id = {my_id: data_centre}
         self._history: deque[tuple[Millis, frozenset[str]]] = deque()
         self._note_change()
 
@@ -50,6 +62,19 @@
         voter = self._by_id.get(daemon_id)
         return voter.address if voter is not None else None
 
+    def data_centre_of(self, daemon_id: str) -> str:
+        """Return where a daemon of the set or of its history stands."""
+        return self._data_centre_by_id.get(daemon_id, "")
+
+    def ids(self) -> frozenset[str]:
+        """Return all daemons that may be alive."""
+        return self._history[-1][1]
+
+    @property
+    def changed_at(self) -> Millis:
+        """Return when the set changed last, in milliseconds since the Unix epoch."""
+        return self._history[-1][0]
+
     def apply_list(self, vms: VmList) -> None:
         """Add listed daemons and drop those that the platform has dropped."""
         daemons = vms.daemons()
@@ -58,7 +83,7 @@
             voter = self._by_id.get(vm.id)
             address = PeerAddress(vm.host, vm.peer_port)
             if voter is None:
-                self._by_id[vm.id] = _Voter(address, now, listed=True)
+                self._by_id[vm.id] = _Voter(address, vm.data_centre, now, listed=True)
             else:
                 voter.listed = True
                 voter.address = address
@@ -73,7 +98,8 @@
         address = PeerAddress(join.host, join.peer_port)
         voter = self._by_id.get(join.daemon_id)
         if voter is None:
-            self._by_id[join.daemon_id] = _Voter(address, self._clock.wall(), listed=False)
+            now = self._clock.wall()
+            self._by_id[join.daemon_id] = _Voter(address, join.data_centre, now, listed=False)
             self._note_change()
         else:
             voter.address = address
@@ -93,7 +119,7 @@
     def standing(self, key: str, issued_at: Millis) -> Standing:
         """Say whether this daemon has held the key since before it was made."""
         since = Millis(issued_at - self._settings.clock_skew_ms)
-        groups = [rank(key, ids)[: self._settings.group_size] for ids in self._sets_since(since)]
+        groups = [rank(key, ids)[: self._settings.group_size] for ids in self.sets_since(since)]
         quorum = max(len(group) for group in groups) // 2 + 1
         if self.established_at is None or self.established_at > since:
             return Standing(False, quorum, "the daemon is younger than the key")
@@ -101,7 +127,7 @@
             return Standing(False, quorum, "the daemon has not held the key throughout")
         return Standing(True, quorum)
 
-    def _sets_since(self, since: Millis) -> list[frozenset[str]]:
+    def sets_since(self, since: Millis) -> list[frozenset[str]]:
         """Return each set in force at a moment or later."""
         sets: list[frozenset[str]] = []
         for changed_at, ids in reversed(self._history):
@@ -116,6 +142,11 @@
             return
         now = self._clock.wall()
         self._history.append((now, ids))
+        self.version += 1
+        self._data_centre_by_id |= {one: voter.data_centre for one, voter in self._by_id.items()}
         keep = self._settings.window_ms + 2 * self._settings.clock_skew_ms
         while len(self._history) > 1 and now - self._history[1][0] > keep:
             self._history.popleft()
+        remembered = frozenset().union(*(one for _, one in self._history))
+        for daemon_id in set(self._data_centre_by_id) - remembered:
+            del self._data_centre_by_id[daemon_id]
--- a/packages/firtrestle/tests/test_gathers.py
+++ b/packages/firtrestle/tests/test_gathers.py
@@ -279,3 +279,67 @@
         assert not tools.quarantines.is_suspect("f")
 
     run_with(behave, body)
+
+
+def test_canaries_that_reach_no_target_do_not_add_up():
+    """A request once killed four targets when slots were leased just as its canaries waited."""
+
+    def dead_after(attempts: int) -> set[str]:
+        dead: set[str] = set()
+
+        def behave(sub):
+            if sub.attempt <= attempts:
+                return 1, SubReply("not-holder")
+            dead.add(sub.target_id)
+            return 5, SubReply("died", sent=True)
+
+        async def body(tools, holders):
+            asked = {"canary": Canary.ALWAYS, "fingerprint": "poison"}
+            result = await run_gather(tools, snapshot(6), timeout=5_000, **asked)
+            assert isinstance(result, Quarantined)
+
+        run_with(behave, body)
+        return dead
+
+    assert [len(dead_after(attempts)) for attempts in range(1, 30)] == [2] * 29
+
+
+def test_a_canary_that_reaches_no_target_makes_way_for_another_shard():
+    def behave(sub):
+        if sub.shard == 0 and sub.attempt <= 12:
+            return 1, SubReply("not-holder")
+        return 5, good_reply(sub)
+
+    async def body(tools, holders):
+        result = await run_gather(tools, snapshot(6), canary=Canary.ALWAYS)
+        assert result.whole
+
+    for _ in range(10):
+        run_with(behave, body)
+
+
+def test_a_lost_holder_costs_nothing_of_the_budget_for_extra_load():
+    """In a cut the budget was once spent in half a second, and queries ended as no-target."""
+    lost: list[int] = []
+
+    def behave(sub):
+        if sub.attempt <= 6:
+            lost.append(sub.shard)
+            return 5, SubReply("holder-lost", sent=True)
+        return 5, good_reply(sub)
+
+    async def body(tools, holders):
+        result = await run_gather(tools, snapshot(6, replicas=1), extra_load=0.0)
+        assert result.whole
+        assert len(lost) == 6
+
+    run_with(behave, body)
+
+
+def test_a_shard_that_lost_two_holders_needs_the_budget():
+    async def body(tools, holders):
+        result = await run_gather(tools, snapshot(6), extra_load=0.0)
+        assert not result.covered_by_shard
+        assert len(holders.sent) == 12
+
+    run_with(lambda sub: (5, SubReply("holder-lost", sent=True)), body)
--- a/packages/firtrestle/tests/test_lanes.py
+++ b/packages/firtrestle/tests/test_lanes.py
@@ -1,11 +1,13 @@
 """Check a lane against a target in this process, over real sockets."""
 
 import json
+import math
 
 import trio
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
-from firtrestle.lanes import Lane
+from firtrestle.lanes import FIRST_LEASE_TIME, Lane
+from firtrestle.leases import LOTS, Lease, TargetLease
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.settings import TargetSettings
 from firtrestle.target_reports import SearcherReport, TargetReport, TargetState
@@ -19,6 +21,7 @@
         self.running = self.most_running = self.connections = self.most_connections = 0
         self.received: list[dict] = []
         self.cancelled: list[int] = []
+        self.deadlines: list[float] = []
         self.release = trio.Event()
         self.garble: dict = {}
 
@@ -28,6 +31,7 @@
             self.cancelled.append(call["attempt"])
             return HttpResponse.from_json({"cancelled": True})
         self.received.append(call)
+        self.deadlines.append(float(request.header("request-timeout-ms")))
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         await self.release.wait()
@@ -44,19 +48,33 @@
         self.connections -= 1
 
 
+def whole_lease() -> TargetLease:
+    never = Millis(math.inf)
+    return TargetLease({"d1": Lease(frozenset(range(LOTS)), never, never)})
+
+
 async def lane_to(target: Target, nursery: trio.Nursery, slots: int = 2, limit: int = 8) -> Lane:
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listener.socket.getsockname()[1]
     nursery.start_soon(trio.serve_listeners, target.accept, [listener])
     vm = Vm("t", VmKind.TARGET, "dc", "127.0.0.1", port, 0, VmState.LIVE, "c")
-    lane = Lane(vm, TargetSettings(), Clock(), nursery)
+    lane = Lane(vm, whole_lease(), TargetSettings(), Clock(), nursery)
     searchers = {"s0": SearcherReport(slots, {1: (0,)})}
     lane.report = TargetReport("t", TargetState.LIVE, "c", limit, searchers)
     return lane
 
 
-def sub(attempt: int, urgent: bool = False, budget: float = 5_000, key: str = "") -> SubRequest:
-    return SubRequest("r", attempt, "t", "s0", "c", 1, 0, "search", {}, budget, urgent, key)
+def sub(
+    attempt: int,
+    urgent: bool = False,
+    budget: float = 5_000,
+    key: str = "",
+    suspect: bool = False,
+) -> SubRequest:
+    query = {}
+    made = SubRequest("r", attempt, "t", "s0", "c", 1, 0, "search", query, budget, urgent, key)
+    made.suspect = suspect
+    return made
 
 
 async def until(condition) -> None:
@@ -178,3 +196,53 @@
         await until(lambda: len(replies) == 2)
         assert [(r.outcome, r.sent) for r in replies] == [("died", True), ("unreachable", False)]
         nursery.cancel_scope.cancel()
+
+
+async def test_suspects_run_one_by_one_and_others_beside_them():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery, slots=3)
+        lane.start(sub(1, suspect=True), replies.append)
+        lane.start(sub(2, suspect=True), replies.append)
+        lane.start(sub(3), replies.append)
+        await until(lambda: target.running == 2)
+        assert [call["attempt"] for call in target.received] == [1, 3]
+        target.release.set()
+        await until(lambda: len(replies) == 3)
+        assert {reply.outcome for reply in replies} == {"ok"}
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_lease_that_ends_stops_new_calls_and_gives_back_what_waits():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery)
+        lane.start(sub(1), replies.append)
+        await until(lambda: target.running == 1)
+        lane.lease.by_owner.clear()
+        lane.start(sub(2), replies.append)
+        lane._opened_at = Millis(lane._opened_at - FIRST_LEASE_TIME - 1)
+        lane.take_leases()
+        lane.start(sub(3), replies.append)
+        assert [(r.attempt, r.outcome, r.sent) for r in replies] == [
+            (2, "not-holder", False),
+            (3, "not-holder", False),
+        ]
+        target.release.set()
+        await until(lambda: len(replies) == 3)
+        assert (replies[2].attempt, replies[2].outcome) == (1, "ok")
+        assert len(target.received) == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_sub_request_gets_no_more_time_at_the_target_than_its_lease():
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        lane = await lane_to(target, nursery)
+        now = lane._clock.now()
+        lots = frozenset(range(LOTS))
+        lane.lease.by_owner["d1"] = Lease(lots, Millis(now + 500), Millis(now + 900))
+        lane.start(sub(1, budget=5_000), replies.append)
+        await until(lambda: target.running == 1)
+        assert 0 < target.deadlines[0] <= 900
+        nursery.cancel_scope.cancel()
--- a/packages/firtrestle/tests/test_quarantines.py
+++ b/packages/firtrestle/tests/test_quarantines.py
@@ -76,6 +76,18 @@
     quarantines.note_death(asked, "t0")
     other_items.put_rows(items.rows(["suspect/f"]))
     assert other.time_left("f") > 0
+    assert other.is_on_trial("f")
     quarantines.clear(asked)
     other_items.put_rows(items.rows(["suspect/f"]))
     assert other.time_left("f") is None
+    assert not other.is_on_trial("f")
+
+
+async def test_a_quarantined_request_is_on_trial_no_more():
+    quarantines, _, _ = made()
+    asked = query(fingerprint="f")
+    quarantines.note_death(asked, "t0")
+    assert quarantines.is_on_trial("f")
+    quarantines.note_death(asked, "t1")
+    assert not quarantines.is_on_trial("f")
+    assert quarantines.time_left("f") == 10_000
