--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -25,6 +25,7 @@
     class: urgent
     collection: {collection}
     timeout_ms: 2000
+    canary: {canary}
   desk-ordinary:
     owner: bench
     class: ordinary
@@ -49,6 +50,7 @@
     seconds: float = 20.0
     timeout: Millis = TIMEOUT
     poison: str = ""
+    canary: str = "new-shapes"
     faults: dict[str, Any] = field(default_factory=dict)
     script: Script = _nothing
     policies: tuple[str, ...] = ("baseline", "chosen")
@@ -56,7 +58,7 @@
 
     def catalogue(self) -> str:
         """Return the catalogue in force."""
-        return CATALOGUE.format(collection=self.shape.collection)
+        return CATALOGUE.format(collection=self.shape.collection, canary=self.canary)
 
     def plans(self, seed: int) -> list[tuple[float, list[Plan]]]:
         """Return the groups of queries with their rates a second."""
@@ -138,7 +140,7 @@
 async def _soak(rig: Rig) -> None:
     """Break one thing after the other, from the rig's seed, and let each come back."""
     rng = random.Random(f"soak/{rig.seed}")
-    catalogue = CATALOGUE.format(collection=REVIEW_DESK.collection)
+    catalogue = SCENARIO_BY_NAME["soak"].catalogue()
     for _ in range(SOAK_TROUBLES):
         target = rng.choice(REVIEW_DESK.target_ids())
         daemon = rng.choice(rig.daemons())
@@ -167,6 +169,14 @@
     straggle = {"straggle_share": 0.01, "straggle_factor": 20.0, "latency_ms": 30.0}
     return [
         Scenario("calm", "nothing straggles", faults={"latency_ms": 30.0}, rate_per_second=12.0),
+        Scenario(
+            "calm-canaries",
+            "nothing straggles, and each new query goes to one shard first",
+            faults={"latency_ms": 30.0},
+            rate_per_second=12.0,
+            canary="always",
+            policies=("chosen",),
+        ),
         Scenario(
             "straggler",
             "1 in 100 sub-replies is 20 times slower",
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from firtrestle.clocks import Clock, Millis
 from firtrestle.outcomes import SubOutcome
 from firtrestle.snapshots import ReplicaId
 
 LATENCY_WEIGHT = 0.2  # of the newest latency in the moving mean
-LOOKBACK = 16  # outcomes that the failure slack is averaged over
-FAILURE_SHARE = 0.5  # of the lookback, above which a replica is passed over
-MIN_OUTCOMES = 4
+CLEAN_RUN = 16  # answers in a row, after which earlier ejections are forgotten
 HINT_LIFE = Millis(100)
 FIRST_EJECTION = Millis(500)
 LONGEST_EJECTION = Millis(10_000)
 
-FAILURES = frozenset({SubOutcome.DIED, SubOutcome.BAD_REPLY, SubOutcome.REFUSED})
+FAILURES = frozenset(
+    {SubOutcome.UNREACHABLE, SubOutcome.DIED, SubOutcome.BAD_REPLY, SubOutcome.REFUSED}
+)
 
 
 @dataclass(slots=True)
@@ -33,7 +32,7 @@
     samples: int = 0
     ejected_until: Millis = Millis(0)
     ejections: int = 0
-    _failed: deque[bool] = field(default_factory=lambda: deque(maxlen=LOOKBACK))
+    clean_run: int = 0
 
     def note(self, outcome: SubOutcome, latency: Millis, queue: int, now: Millis) -> None:
         """Take in how one sub-request ended."""
@@ -41,13 +40,8 @@
         self.hinted_at = now
         if outcome is SubOutcome.OK:
             self._take_latency(latency)
-        if outcome is SubOutcome.UNREACHABLE:
-            self._eject(now)
-            return
-        if outcome is SubOutcome.OK or outcome in FAILURES:
-            self._failed.append(outcome in FAILURES)
-        if self._is_failing():
-            self._failed.clear()
+            self._take_clean()
+        elif outcome in FAILURES:
             self._eject(now)
 
     def queue(self, now: Millis) -> int:
@@ -69,14 +63,14 @@
             self.latency = latency
         else:
             self.latency = Millis(self.latency + LATENCY_WEIGHT * (latency - self.latency))
-        if len(self._failed) == LOOKBACK and not any(self._failed):
-            self.ejections = 0
 
-    def _is_failing(self) -> bool:
-        count = len(self._failed)
-        return count >= MIN_OUTCOMES and sum(self._failed) > FAILURE_SHARE * count
+    def _take_clean(self) -> None:
+        self.clean_run += 1
+        if self.clean_run >= CLEAN_RUN:
+            self.ejections = 0
 
     def _eject(self, now: Millis) -> None:
+        self.clean_run = 0
         if self.is_ejected(now):
             return
         hold = min(LONGEST_EJECTION, FIRST_EJECTION * 2**self.ejections)
