Compare a replaced entry's answers in the background before it may retire

Ruled out: answering from both (twice the load, the old tail on callers), and the operator's own comparing (no proof).

Change: an entry may say `replaces`.

Not measured: what the comparing costs.

--- a/packages/firtrestle-client/firtrestle_client/checks.py
+++ b/packages/firtrestle-client/firtrestle_client/checks.py
@@ -8,6 +8,8 @@
 from firtrestle.catalogues import Catalogue, Entry, parse_catalogue
 from firtrestle.yaml_documents import Fault
 
+from firtrestle_client.fleets import DaemonAnswer
+
 
 @dataclass(frozen=True, slots=True)
 class Difference:
@@ -36,6 +38,18 @@
     return found
 
 
+def retirement_faults(catalogue: Catalogue, answers: list[DaemonAnswer]) -> list[Fault]:
+    """Return what a catalogue drops though the daemons' comparisons have not passed."""
+    found: dict[str, Fault] = {}
+    for answer in answers:
+        for one in answer.value["comparisons"] if answer.value else []:
+            old = one["replaces"]
+            if one["fault"] and old not in catalogue.by_name:
+                path, _, message = one["fault"].partition(": ")
+                found[old] = Fault(1, path, message, f"keep '{old}' until it has passed")
+    return list(found.values())
+
+
 def fault_rows(faults: list[Fault]) -> list[dict[str, object]]:
     """Return faults as plain values."""
     return [asdict(fault) for fault in faults]
--- a/packages/firtrestle-client/firtrestle_client/main.py
+++ b/packages/firtrestle-client/firtrestle_client/main.py
@@ -15,7 +15,13 @@
 from firtrestle.traces import RULES, BadTrace, load_trace, replay
 from firtrestle.yaml_documents import Fault
 
-from firtrestle_client.checks import Catalogue, compare, fault_rows, read_catalogue
+from firtrestle_client.checks import (
+    Catalogue,
+    compare,
+    fault_rows,
+    read_catalogue,
+    retirement_faults,
+)
 from firtrestle_client.fleets import DaemonAnswer, find_daemons, get_all
 from firtrestle_client.tables import print_json, print_table
 from firtrestle_client.timelines import TimeLine, event_lines, json_lines
@@ -57,16 +63,21 @@
     ),
 ]
 AsJson = Annotated[bool, typer.Option("--json", help="print JSON")]
+NO_DAEMONS: list[str] = []
 DEFAULT_DAEMONS = ["127.0.0.1:8080"]
 
 
 @app.command()
 def check(
-    file: Annotated[Path, typer.Argument(help="catalogue file")], as_json: AsJson = False
+    file: Annotated[Path, typer.Argument(help="catalogue file")],
+    daemon: Daemons = NO_DAEMONS,
+    as_json: AsJson = False,
 ) -> None:
-    """Check a catalogue and show every fault at once."""
+    """Check a catalogue, with daemons also against what they still compare."""
     catalogue = read_catalogue(file)
     faults = catalogue if isinstance(catalogue, list) else []
+    if daemon and isinstance(catalogue, Catalogue):
+        faults = retirement_faults(catalogue, _ask_all(daemon, "/-/status"))
     if as_json:
         print_json({"file": str(file), "good": not faults, "faults": fault_rows(faults)})
     elif faults:
@@ -105,6 +116,7 @@
     print_table(STATUS_COLUMNS, [_status_row(answer) for answer in answers])
     _print_rejected(answers)
     _print_targets(answers)
+    _print_comparisons(answers)
 
 
 @app.command()
@@ -249,6 +261,15 @@
     ]
 
 
+def _print_comparisons(answers: list[DaemonAnswer]) -> None:
+    found = next((a.value["comparisons"] for a in answers if a.value), [])
+    if found:
+        columns = ("entry", "replaces", "same", "differing", "may retire")
+        rows = [[*[one[name] for name in columns[:4]], not one["fault"]] for one in found]
+        print()
+        print_table(columns, rows)
+
+
 def _print_rejected(answers: list[DaemonAnswer]) -> None:
     rejected = {
         answer.value["rejected"][0]: answer.value["rejected"][1]
--- a/packages/firtrestle-client/tests/test_main.py
+++ b/packages/firtrestle-client/tests/test_main.py
@@ -2,6 +2,7 @@
 from pathlib import Path
 
 import pytest
+from firtrestle_client.fleets import DaemonAnswer
 from firtrestle_client.main import app
 from typer.testing import CliRunner
 
@@ -67,3 +68,18 @@
     path.write_text("nonsense\n")
     result = run("replay", str(path))
     assert (result.exit_code, "line 1" in result.output) == (2, True)
+
+
+def test_check_refuses_to_drop_what_the_daemons_still_compare(tmp_path: Path, monkeypatch):
+    fault = "entries.old: may not retire yet: 'new' replaces it"
+    value = {"comparisons": [{"entry": "new", "replaces": "old", "fault": fault}]}
+    answers = [DaemonAnswer("d1:1", value), DaemonAnswer("d2:1", value)]
+    monkeypatch.setattr("firtrestle_client.main._ask_all", lambda daemons, path: answers)
+    path = tmp_path / "new.yaml"
+    path.write_text("entries: {new: {owner: o, collection: c}}")
+    result = run("check", str(path), "--daemon", "d1:1")
+    assert result.exit_code == 1
+    assert "entries.old: may not retire yet" in result.output
+    assert "keep 'old' until it has passed" in result.output
+    path.write_text("entries: {new: {owner: o, collection: c}, old: {owner: o, collection: c}}")
+    assert run("check", str(path), "--daemon", "d1:1").exit_code == 0
--- a/packages/firtrestle-standins/firtrestle_standins/shapes.py
+++ b/packages/firtrestle-standins/firtrestle_standins/shapes.py
@@ -21,6 +21,7 @@
     shards: int
     documents: int
     replicas: int = 2
+    rows_of: str = ""  # another collection, whose rows this one serves as well
 
     def target_ids(self) -> list[str]:
         """Return the ids of the instances."""
@@ -49,6 +50,7 @@
         return {
             "id": target,
             "collection": self.collection,
+            "rows_of": self.rows_of or self.collection,
             "connection_limit": self.connection_limit,
             "connect_cost_ms": self.connect_cost_ms,
             "slots": self.slots,
--- a/packages/firtrestle-standins/firtrestle_standins/targets.py
+++ b/packages/firtrestle-standins/firtrestle_standins/targets.py
@@ -58,6 +58,7 @@
     host: str
     port: int
     collection: str
+    rows_of: str
     connection_limit: int
     connect_cost_ms: float
     slots: int
@@ -266,8 +267,8 @@
         if is_submit:
             return [{"id": call["key"], "version": version.number, "receipt": True}], 0
         matches = version.matches(call["shard"], call["query"])
-        collection = call["collection"]
-        rows = [{"id": row_id(collection, n), "version": version.number} for n in matches]
+        name = self.config.rows_of
+        rows = [{"id": row_id(name, n), "version": version.number} for n in matches]
         return rows, version.documents_by_shard()[call["shard"]]
 
 
--- a/packages/firtrestle-standins/tests/test_rigs.py
+++ b/packages/firtrestle-standins/tests/test_rigs.py
@@ -336,3 +336,52 @@
 def test_plans_are_the_same_for_the_same_seed():
     plans = (search_plans(20, "/p", "c", TIMEOUT, 5) for _ in itertools.repeat(None, 2))
     assert next(plans) == next(plans)
+
+
+LEGACY = Shape("legacy", 2, 1, 3, 30, 2.0, shards=3, documents=400, rows_of="desk")
+RETIRING = """
+entries:
+  desk:
+    owner: o
+    collection: desk
+    paths: [/old/desk]
+    timeout_ms: 3000
+    replaces: {entry: legacy, compare_share: 0.5, least_compared: 40}
+  legacy: {owner: o, collection: legacy}
+"""
+RETIRED = "entries: {desk: {owner: o, collection: desk, paths: [/old/desk], timeout_ms: 3000}}"
+
+
+async def test_an_old_entry_retires_only_after_its_answers_were_compared():
+    async def revisions(rig: Rig) -> set[int]:
+        return {(await rig.status(name))["revision"] for name in rig.daemons()}
+
+    async def compared(rig: Rig, name: str) -> int:
+        (one,) = (await rig.status(name))["comparisons"]
+        return one["same"] + one["differing"]
+
+    async with fleet(3, (DESK, LEGACY)) as (rig, callers):
+        await rig.publish_catalogue(RETIRING)  # revision 2
+        with trio.fail_after(20):
+            while await revisions(rig) != {2}:
+                await sleep(Millis(100))
+        await rig.publish_catalogue(RETIRED)  # revision 3, too early
+        plans = search_plans(160, "/old/desk", "desk", TIMEOUT, SEED)
+        await callers.run(plans, RATE)
+        assert callers.tally_by_group["all"].whole == 160
+        assert await revisions(rig) == {2}
+        status = await rig.status("d1")
+        assert status["rejected"][0] == 3
+        assert "entries.legacy: may not retire yet" in status["rejected"][1][0]
+        with trio.fail_after(20):
+            while min([await compared(rig, name) for name in rig.daemons()]) < 40:
+                await sleep(Millis(200))
+        assert {one["differing"] for one in (await rig.status("d1"))["comparisons"]} == {0}
+        await rig.publish_catalogue(RETIRED)  # revision 4
+        with trio.fail_after(20):
+            while await revisions(rig) != {4}:
+                await sleep(Millis(100))
+        await callers.run(search_plans(10, "/old/desk", "desk", TIMEOUT, SEED, "after"), RATE)
+        assert callers.tally_by_group["after"].whole == 10
+        await rig.collect_events()
+        assert broken(rig) == {}
--- a/packages/firtrestle/firtrestle/catalogues.py
+++ b/packages/firtrestle/firtrestle/catalogues.py
@@ -57,6 +57,15 @@
     concurrency: int = Field(1_000, ge=1)
 
 
+class ReplacesModel(_Model):
+    """Check how an entry takes over from an older one."""
+
+    entry: str = Field(min_length=1)
+    compare_share: float = Field(0.01, gt=0, le=1)
+    least_compared: int = Field(1_000, ge=1)
+    most_differing: float = Field(0.0, ge=0, le=1)
+
+
 class EntryModel(_Model):
     """Check one entry."""
 
@@ -71,6 +80,7 @@
     timeout_ms: int = Field(1_000, ge=1)
     extra_load: float = Field(0.02, ge=0, le=0.5)
     canary: Canary = Canary.NEW_SHAPES
+    replaces: ReplacesModel | None = None
 
     @model_validator(mode="after")
     def _check_paths(self) -> EntryModel:
@@ -95,8 +105,28 @@
                 other = name_by_path.setdefault(path, name)
                 if other != name:
                     raise ValueError(f"path '{path}' belongs to both '{other}' and '{name}'")
+            self._check_replaced(name, entry)
         return self
 
+    def _check_replaced(self, name: str, entry: EntryModel) -> None:
+        if entry.replaces is None:
+            return
+        old = self.entries.get(entry.replaces.entry)
+        if old is None or old is entry:
+            raise ValueError(f"'{name}' replaces '{entry.replaces.entry}', which is no other entry")
+        if EntryKind.SUBMIT in (entry.kind, old.kind):
+            raise ValueError(f"'{name}' replaces '{entry.replaces.entry}': only searches can")
+
+
+@dataclass(frozen=True, slots=True)
+class Replaces:
+    """Say which entry is replaced, and what its comparison must show before it may retire."""
+
+    entry: str
+    compare_share: float
+    least_compared: int
+    most_differing: float
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -115,6 +145,7 @@
     timeout: Millis
     extra_load: float
     canary: Canary
+    replaces: Replaces | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,4 +193,5 @@
         timeout=Millis(model.timeout_ms),
         extra_load=model.extra_load,
         canary=model.canary,
+        replaces=Replaces(**model.replaces.model_dump()) if model.replaces else None,
     )
--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -8,7 +8,6 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Annotated, Any
@@ -21,6 +20,7 @@
 from firtrestle.catalogues import RESERVED_PREFIX, Catalogue, parse_catalogue
 from firtrestle.claims import Claims, KeyTable
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.comparisons import Comparisons
 from firtrestle.events import EventKind, EventLog
 from firtrestle.fronts import Front, FrontState
 from firtrestle.gather_tools import GatherTools
@@ -38,9 +38,10 @@
 from firtrestle.peer_calls import PeerCalls
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import PeerClients, PeerFailure
-from firtrestle.platforms import DOCUMENT_PREFIX, DocumentWatcher
+from firtrestle.platforms import DOCUMENT_PREFIX, DocumentWatcher, FaultsOf
 from firtrestle.quarantines import Quarantines
 from firtrestle.replicas import Replicas
+from firtrestle.retirements import merged_comparisons, retirement_faults
 from firtrestle.settings import Settings, load_settings
 from firtrestle.shares import Shares
 from firtrestle.spreads import Item, Spreader, SpreadMap
@@ -104,9 +105,13 @@
         self.front = Front(
             settings, self.state, tools, self._claims, admitter, self._shares, self._pauses
         )
+        self._comparisons = Comparisons(
+            self.front.searches.run, lambda: self.state.catalogue, nursery, clock, rng
+        )
+        signals.query_answered.connect(self._comparisons.on_answer)
         platform = settings.platform
         self._catalogue_watcher = self._build_watcher(
-            CATALOGUE, platform.configuration_service, _catalogue_faults, rng
+            CATALOGUE, platform.configuration_service, _catalogue_faults, rng, self._may_not_follow
         )
         self._vms_watcher = self._build_watcher(VMS, platform.vm_list, _vm_list_faults, rng)
         self._joiner = Joiner(
@@ -165,14 +170,28 @@
         self,
         name: str,
         address: str,
-        faults_of: Callable[[str, int], list[str]],
+        faults_of: FaultsOf,
         rng: random.Random,
+        may_not_follow: FaultsOf | None = None,
     ) -> DocumentWatcher:
-        platform = self.settings.platform
         return DocumentWatcher(
-            name, address, faults_of, platform, self.items, self.members, self.clock, rng
+            name,
+            address,
+            faults_of,
+            self.settings.platform,
+            self.items,
+            self.members,
+            self.clock,
+            rng,
+            may_not_follow,
         )
 
+    def _may_not_follow(self, text: str, revision: int) -> list[str]:
+        after = parse_catalogue(text, revision)
+        if isinstance(after, list):
+            return [str(fault) for fault in after]
+        return retirement_faults(self.state.catalogue, after, merged_comparisons(self.items))
+
     async def run(self) -> None:
         """Serve until stopped; raise OSError when a port can't be had."""
         daemon = self.settings.daemon
@@ -220,7 +239,7 @@
         with move_on_after(Millis(self.settings.front.max_timeout_ms)):
             while self._is_busy():
                 await sleep(STOP_POLL)
-        self._kernel.ledger.spread(self.items, self._process())
+        self._spread_counts()
         self.events.add(EventKind.STOPPED)
         await sleep(STOP_POLL)
         logger.info("stopped")
@@ -253,7 +272,11 @@
         while True:
             fleet_size = len(self.members.live())
             await sleep(Millis(max(CREDIT_SPREAD_PAUSE, CREDIT_PAUSE_PER_DAEMON * fleet_size)))
-            self._kernel.ledger.spread(self.items, self._process())
+            self._spread_counts()
+
+    def _spread_counts(self) -> None:
+        self._kernel.ledger.spread(self.items, self._process())
+        self._comparisons.spread(self.items, self._process())
 
     def _process(self) -> str:
         return f"{self.settings.daemon.id}/{self.incarnation}"
--- a/packages/firtrestle/firtrestle/fronts.py
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -64,7 +64,7 @@
         self.views = SnapshotViews(tools)
         self._settings = settings
         self._tools = tools
-        self._searches = Searches(tools, self.views)
+        self.searches = Searches(tools, self.views)
         self._submits = Submits(tools, claims)
         self._admitter = admitter
         self._shares = shares
@@ -123,7 +123,7 @@
 
     async def _run(self, query: Query) -> Gathered | Receipt | Refused:
         if query.entry.kind is EntryKind.SEARCH:
-            return await self._searches.run(query)
+            return await self.searches.run(query)
         snapshot = pin(self.views.of(query.entry.collection))
         if snapshot is None:
             return Refused(ErrorKind.NO_TARGET)
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -21,6 +21,7 @@
 from firtrestle.platforms import REJECTED_PREFIX, DocumentWatcher
 from firtrestle.problems import problem_response
 from firtrestle.quarantines import Quarantines
+from firtrestle.retirements import comparisons_of, merged_comparisons
 from firtrestle.shares import Shares
 from firtrestle.spreads import SpreadMap
 from firtrestle.voters import Voters
@@ -131,6 +132,16 @@
                 for entry in state.catalogue.by_name.values()
             },
             "quarantine": self.quarantines.held(),
+            "comparisons": [
+                {
+                    "entry": one.entry.name,
+                    "replaces": one.entry.replaces.entry,
+                    "same": one.compared.same,
+                    "differing": one.compared.differing,
+                    "fault": one.fault,
+                }
+                for one in comparisons_of(state.catalogue, merged_comparisons(self.items))
+            ],
         }
 
     def _ready(self) -> HttpResponse:
--- a/packages/firtrestle/firtrestle/platforms.py
+++ b/packages/firtrestle/firtrestle/platforms.py
@@ -22,6 +22,9 @@
 ANSWER_GRACE = Millis(2_000)
 
 
+FaultsOf = Callable[[str, int], list[str]]
+
+
 @dataclass(frozen=True, slots=True)
 class Document:
     """Hold one revision of a document of the platform."""
@@ -32,24 +35,29 @@
 
 
 class DocumentWatcher:
-    """Read one document when this daemon is its data centre's reader, and spread it."""
+    """Read one document when this daemon is its data centre's reader, and spread it.
+
+    A document that has spread is in force; only its reader asks whether it may follow the last.
+    """
 
     def __init__(
         self,
         name: str,
         address: str,
-        faults_of: Callable[[str, int], list[str]],
+        faults_of: FaultsOf,
         settings: PlatformSettings,
         items: SpreadMap,
         members: Members,
         clock: Clock,
         rng: random.Random,
+        may_not_follow: FaultsOf | None = None,
     ) -> None:
         self.name = name
         self.reads = 0
         self.last_read_at: Millis | None = None
         self._address = address
         self._faults_of = faults_of
+        self._may_not_follow = may_not_follow or (lambda text, revision: [])
         self._settings = settings
         self._items = items
         self._members = members
@@ -123,8 +131,9 @@
             return
         self._offered = document.revision
         faults = self._faults_of(document.text, document.revision)
+        faults = faults or self._may_not_follow(document.text, document.revision)
         if faults:
-            logger.error("{} {} is invalid: {}", self.name, document.revision, faults[0])
+            logger.error("{} {} is refused: {}", self.name, document.revision, faults[0])
             self._items.put(REJECTED_PREFIX + self.name, document.revision, faults)
         else:
             self._items.put(DOCUMENT_PREFIX + self.name, document.revision, document.text)
--- /dev/null
+++ b/packages/firtrestle/tests/test_retirements.py
@@ -0,0 +1,74 @@
+import pytest
+from firtrestle.catalogues import Catalogue, parse_catalogue
+from firtrestle.retirements import Compared, Pair, comparisons_of, retirement_faults
+
+BOTH = """
+entries:
+  new:
+    owner: o
+    collection: c2
+    replaces: {entry: old, least_compared: 100, most_differing: 0.01}
+  old: {owner: o, collection: c1}
+"""
+ONLY_NEW = "entries: {new: {owner: o, collection: c2}}"
+PAIR = Pair("c2", "c1")
+
+
+def catalogue(text: str) -> Catalogue:
+    parsed = parse_catalogue(text, 1)
+    assert isinstance(parsed, Catalogue), parsed
+    return parsed
+
+
+@pytest.mark.parametrize(
+    ("compared", "may_retire"),
+    [
+        (Compared(), False),
+        (Compared(same=99), False),
+        (Compared(same=100), True),
+        (Compared(same=99, differing=1), True),
+        (Compared(same=98, differing=2), False),
+        (Compared(differing=500), False),
+    ],
+)
+def test_an_old_entry_retires_once_enough_answers_were_the_same(compared, may_retire):
+    faults = retirement_faults(catalogue(BOTH), catalogue(ONLY_NEW), {PAIR: compared})
+    assert bool(faults) != may_retire
+    assert all("entries.old: may not retire yet" in fault for fault in faults)
+
+
+def test_what_is_kept_and_what_nothing_replaces_is_not_held_back():
+    kept = "entries: {old: {owner: o, collection: c1}}"  # the comparison is given up
+    assert retirement_faults(catalogue(BOTH), catalogue(kept), {}) == []
+    assert retirement_faults(catalogue(kept), catalogue(ONLY_NEW), {}) == []
+
+
+def test_counts_of_other_collections_do_not_count():
+    faults = retirement_faults(
+        catalogue(BOTH), catalogue(ONLY_NEW), {Pair("c2", "c9"): Compared(same=1_000)}
+    )
+    assert len(faults) == 1
+
+
+def test_a_comparison_says_how_far_it_has_come():
+    (one,) = comparisons_of(catalogue(BOTH), {PAIR: Compared(same=9, differing=1)})
+    assert not one.passed
+    assert "of 10 answers compared (at least 100 needed) 10.00% differed" in one.fault
+
+
+@pytest.mark.parametrize(
+    ("entry", "message"),
+    [
+        ("new: {owner: o, collection: c, replaces: {entry: gone}}", "which is no other entry"),
+        ("new: {owner: o, collection: c, replaces: {entry: new}}", "which is no other entry"),
+        (
+            "new: {owner: o, collection: c, replaces: {entry: old}}\n"
+            "  old: {owner: o, collection: c, kind: submit}",
+            "only searches can",
+        ),
+    ],
+)
+def test_a_wrong_comparison_is_a_fault_of_the_catalogue(entry, message):
+    faults = parse_catalogue(f"entries:\n  {entry}\n", 1)
+    assert isinstance(faults, list)
+    assert message in str(faults[0])
