Hedge each straggler when it is late; part attempts and target replies out

Change: three times the query's own median until enough is known; a loser counts with the delay that it was hedged after; a short queue takes hedges and hints live 40 ms; three quarters of the shards are enough; a second hedge may go to a replica again; hedges wait up to twice as long as the budget runs out, and one that is very late may use the tokens kept for retries.

--- a/packages/firtrestle/firtrestle/budgets.py
+++ b/packages/firtrestle/firtrestle/budgets.py
@@ -34,6 +34,10 @@
         if self.fraction > 0:
             self._tokens = min(self._cap, self._tokens + sub_requests * self.fraction)
 
+    def scarcity(self) -> float:
+        """Return 1 for a full budget, up to 2 for an empty one: how much later to hedge."""
+        return 2.0 - self._tokens / self._cap if self._cap else 2.0
+
     def spend_on_retry(self) -> bool:
         """Take the right to one retry, if there is any."""
         return self._spend(1.0)
--- a/packages/firtrestle/firtrestle/lanes.py
+++ b/packages/firtrestle/firtrestle/lanes.py
@@ -8,7 +8,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 import trio
 
@@ -18,6 +17,7 @@
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
 from firtrestle.settings import TargetSettings
+from firtrestle.target_replies import empty_reply, read_reply
 from firtrestle.target_reports import TargetReport
 from firtrestle.vm_lists import Vm
 
@@ -28,13 +28,6 @@
 
 Deliver = Callable[[SubReply], None]
 
-OUTCOME_BY_STATUS = {
-    409: SubOutcome.SNAPSHOT_GONE,
-    429: SubOutcome.SHED,
-    499: SubOutcome.CANCELLED,
-    504: SubOutcome.DEADLINE,
-}
-
 
 @dataclass(slots=True, eq=False)
 class LaneCall:
@@ -169,7 +162,7 @@
 
     def _give_up_queue(self) -> None:
         for _, _, call in self._queue:
-            call.finish(_empty(call.sub, SubOutcome.NOT_HOLDER, "no slot is leased"))
+            call.finish(empty_reply(call.sub, SubOutcome.NOT_HOLDER, "no slot is leased"))
         self._queue.clear()
 
     def _lacks_lease(self) -> bool:
@@ -179,12 +172,12 @@
 
     def _refusal(self, sub: SubRequest) -> SubReply | None:
         if self._closed or self.report is None or self._lacks_lease():
-            return _empty(sub, SubOutcome.NOT_HOLDER, "no slot is leased")
+            return empty_reply(sub, SubOutcome.NOT_HOLDER, "no slot is leased")
         searcher = self.report.by_searcher.get(sub.searcher)
         if searcher is None:
-            return _empty(sub, SubOutcome.SNAPSHOT_GONE)
+            return empty_reply(sub, SubOutcome.SNAPSHOT_GONE)
         if self._expected_wait(sub, searcher.slots) > sub.budget_ms:
-            return _empty(sub, SubOutcome.SHED, reason="the queue is longer than the deadline")
+            return empty_reply(sub, SubOutcome.SHED, reason="the queue is longer than the deadline")
         return None
 
     def _expected_wait(self, sub: SubRequest, slots: int) -> Millis:
@@ -230,7 +223,7 @@
     def _is_late(self, call: LaneCall) -> bool:
         if self._clock.now() < call.give_up_at:
             return False
-        call.finish(_empty(call.sub, SubOutcome.DEADLINE))
+        call.finish(empty_reply(call.sub, SubOutcome.DEADLINE))
         return True
 
     def _may_run(self, sub: SubRequest) -> bool:
@@ -284,7 +277,7 @@
         call.started = True
         try:
             with move_on_after(Millis(budget + self._settings.cancel_grace_ms)):
-                answer = _read_reply(call.sub, await self._send(call.sub, connection, budget))
+                answer = read_reply(call.sub, await self._send(call.sub, connection, budget))
                 answer.queue = len(self._queue)
                 if answer.outcome == SubOutcome.DEADLINE and budget < wanted:
                     answer.reason = "it ran longer than longest_run_ms"
@@ -298,7 +291,7 @@
     def _reply(
         self, call: LaneCall, outcome: SubOutcome, reason: str = "", sent: bool = False
     ) -> SubReply:
-        reply = _empty(call.sub, outcome, reason, sent)
+        reply = empty_reply(call.sub, outcome, reason, sent)
         reply.queue = len(self._queue)
         return reply
 
@@ -365,59 +358,6 @@
             self.open_connections -= 1
 
 
-def _empty(sub: SubRequest, outcome: SubOutcome, reason: str = "", sent: bool = False) -> SubReply:
-    return SubReply(
-        outcome,
-        sub.request_id,
-        sub.attempt,
-        sub.collection,
-        sub.version,
-        sub.shard,
-        sent=sent,
-        reason=reason,
-    )
-
-
-def _read_reply(sub: SubRequest, reply: HttpReply | HttpFailure) -> SubReply:
-    if isinstance(reply, HttpFailure):
-        outcome = SubOutcome.DIED if reply.sent else SubOutcome.UNREACHABLE
-        return _empty(sub, outcome, reply.reason, sent=reply.sent)
-    value = reply.json()
-    if not isinstance(value, dict):
-        return _empty(sub, SubOutcome.BAD_REPLY, "the reply is not a JSON object", sent=True)
-    if reply.status != 200:
-        return _read_refusal(sub, reply, value)
-    if not _echoes(sub, value):
-        return _empty(sub, SubOutcome.BAD_REPLY, "the reply answers another request", sent=True)
-    rows, documents = value.get("rows"), value.get("documents")
-    if not isinstance(rows, list) or not isinstance(documents, int) or documents < 0:
-        return _empty(sub, SubOutcome.BAD_REPLY, "the reply lacks rows or documents", sent=True)
-    if any(not isinstance(row, dict) or row.get("version") != sub.version for row in rows):
-        return _empty(sub, SubOutcome.BAD_REPLY, "a row is of another version", sent=True)
-    answer = _empty(sub, SubOutcome.OK, sent=True)
-    answer.rows = rows
-    answer.documents = documents
-    answer.truncated = bool(value.get("truncated"))
-    return answer
-
-
-def _read_refusal(sub: SubRequest, reply: HttpReply, value: dict[str, Any]) -> SubReply:
-    reason = str(value.get("error", reply.status))
-    outcome = OUTCOME_BY_STATUS.get(reply.status, SubOutcome.REFUSED)
-    if reply.status == 503:
-        outcome = SubOutcome.DRAINING if reason == "draining" else SubOutcome.SHED
-    answer = _empty(sub, outcome, reason, sent=True)
-    retry_after = value.get("retry_after_ms")
-    if isinstance(retry_after, int | float):
-        answer.retry_after_ms = float(retry_after)
-    return answer
-
-
-def _echoes(sub: SubRequest, value: dict[str, Any]) -> bool:
-    names = ("request_id", "attempt", "collection", "version", "shard")
-    return all(value.get(name) == getattr(sub, name) for name in names)
-
-
 async def keep_warm(lane: Lane, pause: Millis) -> None:
     """Keep a lane's idle connections open, for ever."""
     while True:
--- a/packages/firtrestle/firtrestle/plugins/hedgers.py
+++ b/packages/firtrestle/firtrestle/plugins/hedgers.py
@@ -16,6 +16,7 @@
 MIN_SAMPLES = 60
 TRIGGER_PERCENT = 98.5
 LEAST_RATIO = 1.2  # of a query's median reply
+FIRST_RATIO = 3.0  # before enough replies are known
 SHORTEST_MEDIAN = Millis(0.1)
 
 
@@ -35,7 +36,7 @@
     """Hedge what is late by the recent latencies of the collection."""
 
     name = "quantile"
-    least_answered = 0.9
+    least_answered = 0.75
 
     def __init__(self, clock: Clock) -> None:
         super().__init__(clock)
@@ -73,9 +74,9 @@
         if progress.shards == 1:
             return super().delay(progress)
         ratios = self._ratios(progress.collection)
-        if ratios.count < MIN_SAMPLES:
-            return None
-        ratio = max(LEAST_RATIO, ratios.quantile(TRIGGER_PERCENT))
+        ratio = FIRST_RATIO
+        if ratios.count >= MIN_SAMPLES:
+            ratio = max(LEAST_RATIO, ratios.quantile(TRIGGER_PERCENT))
         return Millis(ratio * progress.median_reply)
 
     def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -10,7 +10,7 @@
 
 LATENCY_WEIGHT = 0.2  # of the newest latency in the moving mean
 CLEAN_RUN = 16  # answers in a row, after which earlier ejections are forgotten
-HINT_LIFE = Millis(100)
+HINT_LIFE = Millis(40)
 FIRST_EJECTION = Millis(500)
 LONGEST_EJECTION = Millis(10_000)
 
--- a/packages/firtrestle/firtrestle/searches.py
+++ b/packages/firtrestle/firtrestle/searches.py
@@ -4,11 +4,12 @@
 
 import itertools
 
+from firtrestle.attempts import Quarantined, SnapshotGone
 from firtrestle.clocks import Millis, sleep
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.events import EventKind
 from firtrestle.gather_tools import GatherTools
-from firtrestle.gathers import Gather, Quarantined, SnapshotGone
+from firtrestle.gathers import Gather
 from firtrestle.queries import Gathered, Query
 from firtrestle.snapshots import Snapshot, build_snapshots, pin
 
--- a/packages/firtrestle/tests/test_gathers.py
+++ b/packages/firtrestle/tests/test_gathers.py
@@ -1,8 +1,9 @@
 import trio
 from fakes import FakeHolders, gather_tools, good_reply, run_gather, snapshot
+from firtrestle.attempts import Quarantined, SnapshotGone
 from firtrestle.catalogues import Canary, Weighing
 from firtrestle.clocks import Clock
-from firtrestle.gathers import Quarantined, SnapshotGone
+from firtrestle.hedgers import Progress
 from firtrestle.messages import SubReply
 from firtrestle.queries import Gathered
 from hypothesis import given, settings
@@ -144,6 +145,40 @@
     run_with(behave, body)
 
 
+def test_a_hedge_that_straggles_too_is_hedged_once_more():
+    """A query whose hedge straggled once waited for the straggler."""
+
+    def behave(sub):
+        slow = sub.shard == 3 and (sub.attempt <= 20 or sub.attempt == 21)
+        return (LATE if slow else 5), good_reply(sub)
+
+    async def body(tools, holders):
+        for _ in range(10):
+            tools.hedger.learn("c", [5.0] * 20)
+        started_at = Clock().now()
+        result = await run_gather(tools, snapshot(20))
+        assert result.whole
+        assert Clock().now() - started_at < LATE / 10
+        assert result.sent == 22
+        assert [sub.shard for sub in holders.cancelled] == [3, 3]
+
+    run_with(behave, body)
+
+
+def test_a_shard_is_hedged_no_more_than_twice():
+    def behave(sub):
+        return (LATE if sub.shard == 3 else 5), good_reply(sub)
+
+    async def body(tools, holders):
+        for _ in range(10):
+            tools.hedger.learn("c", [5.0] * 20)
+        result = await run_gather(tools, snapshot(20))
+        assert result.whole
+        assert result.sent == 22
+
+    run_with(behave, body)
+
+
 def test_no_hedge_is_sent_where_every_shard_is_slow():
     def behave(sub):
         return 300 + sub.shard, good_reply(sub)
@@ -343,3 +378,75 @@
         assert len(holders.sent) == 12
 
     run_with(lambda sub: (5, SubReply("holder-lost", sent=True)), body)
+
+
+def test_losers_of_hedges_do_not_make_later_hedges_late():
+    """The delay once grew with each loser's own time, from 50 ms to 160."""
+    delays: list[float] = []
+
+    def behave(sub):
+        slow = sub.shard < 2 and sub.attempt <= 20
+        return (LATE if slow else 5), good_reply(sub)
+
+    async def body(tools, holders):
+        for number in range(40):
+            await run_gather(tools, snapshot(20), number, extra_load=0.5)
+            progress = Progress("c", 20, 19, 5.0)
+            delays.append(tools.hedger.delay(progress))
+
+    run_with(behave, body)
+    assert max(delays) <= 15.2  # three times the median, to the histogram's digits
+
+
+def test_a_target_with_a_long_queue_gets_no_hedge():
+    def behave(sub):
+        return (LATE if sub.shard == 3 else 5), good_reply(sub, queue=9)
+
+    async def body(tools, holders):
+        for _ in range(10):
+            tools.hedger.learn("c", [5.0] * 20)
+        started_at = Clock().now()
+        result = await run_gather(tools, snapshot(20), timeout=90)
+        assert Clock().now() - started_at >= 85
+        assert result.sent == 20
+
+    run_with(behave, body)
+
+
+def test_each_straggler_of_a_query_is_hedged_as_soon_as_it_is_late():
+    """A query with four stragglers once waited for one of them, and two were hedged 20 ms apart."""
+
+    def behave(sub):
+        slow = sub.shard < 4 and sub.attempt <= 20
+        return (LATE if slow else 5 + sub.shard / 10), good_reply(sub)
+
+    async def body(tools, holders):
+        for _ in range(10):
+            tools.hedger.learn("c", [5.0] * 20)
+        started_at = Clock().now()
+        result = await run_gather(tools, snapshot(20))
+        assert result.whole
+        assert result.sent == 24
+        assert Clock().now() - started_at < 20
+
+    run_with(behave, body)
+
+
+def test_a_straggler_that_is_very_late_may_use_what_is_left_for_retries():
+    """A query of a daemon's first seconds once waited for its straggler with three tokens left."""
+
+    def behave(sub):
+        return (LATE if sub.shard == 3 and sub.attempt <= 20 else 5), good_reply(sub)
+
+    async def body(tools, holders):
+        for _ in range(10):
+            tools.hedger.learn("c", [5.0] * 20)
+        budget = tools.budget("e", 0.02)
+        while budget.spend_on_hedge():
+            pass
+        started_at = Clock().now()
+        result = await run_gather(tools, snapshot(20), extra_load=0.02)
+        assert result.whole
+        assert Clock().now() - started_at < LATE / 10
+
+    run_with(behave, body)
