--- a/packages/firtrestle/firtrestle/lanes.py
+++ b/packages/firtrestle/firtrestle/lanes.py
@@ -171,7 +171,9 @@
         return not self.leased_lots and now - self._opened_at > FIRST_LEASE_TIME
 
     def _refusal(self, sub: SubRequest) -> SubReply | None:
-        if self._closed or self.report is None or self._lacks_lease():
+        if self._closed or self.report is None:
+            return empty_reply(sub, SubOutcome.NOT_HOLDER, "the target is not held, or not yet")
+        if self._lacks_lease():
             return empty_reply(sub, SubOutcome.NOT_HOLDER, "no slot is leased")
         searcher = self.report.by_searcher.get(sub.searcher)
         if searcher is None:
