Call one piece where the same logic stood two to four times

- The balancer, record, callers and collecting of events stood in the demo, the bench, the recordings and the rig tests: `loads.balanced_callers`.
Comparisons spread as rows of one count each now.
- Shares, leases and their keeper each kept a start time for the same longest wait: it stands once, where readiness is decided.
- Who is established since when was asked in three ways: a method of voters.
- Three aliases of a call by id, and two look-ups of a window by collection.

Behaviour is meant to stay as it is; the tests keep their assertions.

--- a/bench/runs.py
+++ b/bench/runs.py
@@ -10,9 +10,8 @@
 from firtrestle.clocks import Millis, sleep
 from firtrestle.events import Event, EventKind
 from firtrestle.traces import replay
-from firtrestle_standins.balancers import Balancer
 from firtrestle_standins.callers import Callers, Plan, Tally
-from firtrestle_standins.records import Record
+from firtrestle_standins.loads import balanced_callers
 from firtrestle_standins.rigs import Rig
 
 from bench.scenarios import DESK, Scenario
@@ -81,19 +80,12 @@
     await rig.publish_catalogue(scenario.catalogue())
     await rig.start_daemons(DAEMONS)
     await rig.wait_until_ready()
-    balancer = Balancer(rig.daemon_addresses)
-    record = Record("callers", rig.folder / "callers.jsonl")
-    callers = Callers(balancer.ready, rig.versions, record, seed)
-    async with trio.open_nursery() as collecting:
-        collecting.start_soon(rig.keep_collecting)
-        collecting.start_soon(balancer.run)
-        async with trio.open_nursery() as work:
-            work.start_soon(scenario.script, rig)
-            if scenario.poison:
-                work.start_soon(_send_poison, callers, scenario)
-            for rate, plans in scenario.plans(seed):
-                work.start_soon(callers.run, plans, rate)
-        collecting.cancel_scope.cancel()
+    async with balanced_callers(rig, seed) as callers, trio.open_nursery() as work:
+        work.start_soon(scenario.script, rig)
+        if scenario.poison:
+            work.start_soon(_send_poison, callers, scenario)
+        for rate, plans in scenario.plans(seed):
+            work.start_soon(callers.run, plans, rate)
     await rig.collect_events()
     if errors := rig.daemon_errors():
         print(errors, file=sys.stderr)
--- a/packages/firtrestle-standins/firtrestle_standins/demos.py
+++ b/packages/firtrestle-standins/firtrestle_standins/demos.py
@@ -8,9 +8,8 @@
 from firtrestle.clocks import Millis, sleep
 from firtrestle.traces import replay
 
-from firtrestle_standins.balancers import Balancer
 from firtrestle_standins.callers import Callers, Plan, search_plans
-from firtrestle_standins.records import Record
+from firtrestle_standins.loads import balanced_callers
 from firtrestle_standins.rigs import Rig
 from firtrestle_standins.shapes import FEES, REGISTRY, REVIEW_DESK
 
@@ -60,17 +59,9 @@
     await rig.publish_catalogue(CATALOGUE)
     await rig.start_daemons(3)
     await rig.wait_until_ready()
-    balancer = Balancer(rig.daemon_addresses)
-    callers = Callers(
-        balancer.ready, rig.versions, Record("callers", rig.folder / "callers.jsonl"), SEED
-    )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(rig.keep_collecting)
-        nursery.start_soon(balancer.run)
-        async with trio.open_nursery() as work:
-            work.start_soon(_kill_on_the_way, rig)
-            await callers.run(_plans(rig), RATE_PER_SECOND)
-        nursery.cancel_scope.cancel()
+    async with balanced_callers(rig, SEED) as callers, trio.open_nursery() as work:
+        work.start_soon(_kill_on_the_way, rig)
+        await callers.run(_plans(rig), RATE_PER_SECOND)
     await rig.collect_events()
     return _report(rig, callers)
 
--- a/packages/firtrestle-standins/firtrestle_standins/recordings.py
+++ b/packages/firtrestle-standins/firtrestle_standins/recordings.py
@@ -13,9 +13,8 @@
 from firtrestle.keys import new_key
 from firtrestle.traces import replay
 
-from firtrestle_standins.balancers import Balancer
 from firtrestle_standins.callers import Callers, Plan, search_plans
-from firtrestle_standins.records import Record
+from firtrestle_standins.loads import balanced_callers
 from firtrestle_standins.rigs import Rig
 from firtrestle_standins.shapes import Shape
 
@@ -102,17 +101,10 @@
 
 
 async def _run(rig: Rig, name: str) -> None:
-    balancer = Balancer(rig.daemon_addresses)
-    kept = Record("callers", rig.folder / "callers.jsonl")
-    callers = Callers(balancer.ready, rig.versions, kept, SEED)
     plans = search_plans(QUERIES, "/collections/desk", "desk", TIMEOUT, SEED)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(rig.keep_collecting)
-        nursery.start_soon(balancer.run)
-        async with trio.open_nursery() as work:
-            work.start_soon(SCRIPT_BY_NAME[name], rig, callers)
-            work.start_soon(callers.run, plans, RATE)
-        nursery.cancel_scope.cancel()
+    async with balanced_callers(rig, SEED) as callers, trio.open_nursery() as work:
+        work.start_soon(SCRIPT_BY_NAME[name], rig, callers)
+        work.start_soon(callers.run, plans, RATE)
     await rig.collect_events()
 
 
--- a/packages/firtrestle-standins/tests/test_rigs.py
+++ b/packages/firtrestle-standins/tests/test_rigs.py
@@ -11,9 +11,8 @@
 from firtrestle.http_clients import HttpReply, fetch
 from firtrestle.keys import new_key
 from firtrestle.traces import replay
-from firtrestle_standins.balancers import Balancer
 from firtrestle_standins.callers import Callers, Plan, search_plans
-from firtrestle_standins.records import Record
+from firtrestle_standins.loads import balanced_callers
 from firtrestle_standins.rigs import Rig
 from firtrestle_standins.shapes import Shape
 
@@ -42,14 +41,8 @@
         await rig.publish_catalogue(CATALOGUE)
         await rig.start_daemons(daemons, data_centres=3, through_links=linked)
         await rig.wait_until_ready()
-        balancer = Balancer(rig.daemon_addresses)
-        record = Record("callers", rig.folder / "callers.jsonl")
-        callers = Callers(balancer.ready, rig.versions, record, SEED)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(rig.keep_collecting)
-            nursery.start_soon(balancer.run)
+        async with balanced_callers(rig, SEED) as callers:
             yield rig, callers
-            nursery.cancel_scope.cancel()
     finally:
         rig.close()
 
--- a/packages/firtrestle/firtrestle/claims.py
+++ b/packages/firtrestle/firtrestle/claims.py
@@ -4,7 +4,6 @@
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -15,12 +14,10 @@
 from firtrestle.keys import issue_time
 from firtrestle.messages import AskKey, Claim, Done, Settle, Vote
 from firtrestle.settings import ClaimSettings
-from firtrestle.voters import Voters
+from firtrestle.voters import CallDaemon, Voters
 
 PURGE_EVERY = 1_000  # votes
 
-CallDaemon = Callable[[str, Any], Awaitable[Any]]
-
 
 class KeyState(StrEnum):
     """Name what became of a claimed key."""
--- a/packages/firtrestle/firtrestle/comparisons.py
+++ b/packages/firtrestle/firtrestle/comparisons.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
@@ -13,9 +12,10 @@
 
 from firtrestle.catalogues import Catalogue, Entry
 from firtrestle.clocks import Clock, Millis
+from firtrestle.counts import GrowingCounts
 from firtrestle.errors import Refused
 from firtrestle.queries import Gathered, Query, fingerprint_of, shape_of
-from firtrestle.retirements import COMPARISON_PREFIX, Pair
+from firtrestle.retirements import COMPARISON_PREFIX, DIFFERING, SAME, Pair
 from firtrestle.spreads import SpreadMap
 
 MOST_AT_ONCE = 4
@@ -44,8 +44,7 @@
         self._nursery = nursery
         self._clock = clock
         self._rng = rng
-        self._counts: dict[Pair, list[int]] = defaultdict(lambda: [0, 0])
-        self._spread_total = 0
+        self._counts = GrowingCounts(COMPARISON_PREFIX)
         self._running = 0
 
     def on_answer(self, sender: str, query: Query, result: Any, **_: Any) -> None:
@@ -62,11 +61,7 @@
 
     def spread(self, items: SpreadMap, process: str) -> None:
         """Put the counts where peers take them from, if they grew."""
-        rows = [[pair.new, pair.old, *counts] for pair, counts in self._counts.items()]
-        total = sum(same + differing for _, _, same, differing in rows)
-        if total != self._spread_total:
-            self._spread_total = total
-            items.put(COMPARISON_PREFIX + process, total, rows)
+        self._counts.spread(items, process)
 
     async def _compare(self, query: Query, new: Gathered, old_entry: Entry) -> None:
         try:
@@ -77,7 +72,7 @@
             return
         pair = Pair(query.entry.collection, old_entry.collection)
         same = _content(new) == _content(old)
-        self._counts[pair][0 if same else 1] += 1
+        self._counts.count((pair.new, pair.old, SAME if same else DIFFERING))
         if not same:
             logger.warning(
                 "request {} differs between {} and {}", query.request_id, pair.new, pair.old
--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -143,6 +143,8 @@
             [self._catalogue_watcher, self._vms_watcher],
             self._clients,
             self._peer_server,
+            clock,
+            clock.now(),
         )
         front = settings.front
         bounds = HttpBounds(
@@ -211,7 +213,7 @@
         start(self._vms_watcher.run, True)
         start(self._catalogue_watcher.run, False)
         start(self._joiner.run)
-        start(self._spread_credits)
+        start(self._keep_spreading_counts)
         start(self._shares.run, lambda: self.state.catalogue)
         await self._wait_for_stop(listening)
 
@@ -268,7 +270,7 @@
         timeout = Millis(self.settings.peers.call_timeout_ms)
         return await self._clients.get(address).call(value, timeout)
 
-    async def _spread_credits(self) -> None:
+    async def _keep_spreading_counts(self) -> None:
         while True:
             fleet_size = len(self.members.live())
             await sleep(Millis(max(CREDIT_SPREAD_PAUSE, CREDIT_PAUSE_PER_DAEMON * fleet_size)))
--- a/packages/firtrestle/firtrestle/lease_keepers.py
+++ b/packages/firtrestle/firtrestle/lease_keepers.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable
-from typing import Any
+from collections.abc import Callable
 
 import trio
 
@@ -12,13 +11,11 @@
 from firtrestle.leases import LEASE, LOTS, Lease, LotOwners, TargetLease
 from firtrestle.messages import AskLeases, Leases, ReturnLeases
 from firtrestle.settings import TargetSettings
-from firtrestle.voters import LONGEST_WAIT
+from firtrestle.voters import CallDaemon
 
 RENEWAL = Millis(500)
 EAGER_RENEWAL = Millis(100)  # while a target has no lease at all
 
-CallDaemon = Callable[[str, Any], Awaitable[Any]]
-
 
 class LeaseKeeper:
     """Keep the leases of this daemon as a holder.
@@ -49,7 +46,6 @@
         self._asking: set[str] = set()
         self._number = 0
         self._renew_now = trio.Event()
-        self._started_at = clock.now()
         self._was_ready = False
 
     def hold(self, target_id: str, lease: TargetLease, on_change: Callable[[], None]) -> None:
@@ -84,9 +80,8 @@
             self._renew_now = trio.Event()
 
     def is_ready(self) -> bool:
-        """Say whether every target held here has had a lease, or has waited for long enough."""
-        waited = self._clock.now() - self._started_at
-        self._was_ready = self._was_ready or self._all_leased() or waited > LONGEST_WAIT
+        """Say whether every target held here has had a lease."""
+        self._was_ready = self._was_ready or self._all_leased()
         return self._was_ready
 
     def _all_leased(self) -> bool:
--- a/packages/firtrestle/firtrestle/leases.py
+++ b/packages/firtrestle/firtrestle/leases.py
@@ -15,7 +15,7 @@
 from firtrestle.messages import AskLeases, Done, Leases, ReturnLeases
 from firtrestle.rendezvous import owner, rank
 from firtrestle.settings import TargetSettings
-from firtrestle.voters import LONGEST_WAIT, Voters
+from firtrestle.voters import Voters
 
 LOTS = 3  # of a target; slot n of each of its searchers is in lot n modulo this
 LEASE = Millis(1_500)  # time in which sub-requests may begin under a lease
@@ -80,7 +80,7 @@
         """Return the lots that this daemon has owned for some time without a gap."""
         voters = self._voters
         since = Millis(self._clock.wall() - wait)
-        if voters.established_at is None or voters.established_at > since:
+        if not voters.is_established_since(since):
             return frozenset()
         views = [self.owners(target_id)]
         if voters.changed_at > since:
@@ -117,7 +117,6 @@
         self._owners = owners
         self._wait = own_wait(settings)
         self._clock = clock
-        self._started_at = clock.now()
         self._grant_by_target: dict[str, _Grant] = {}
 
     def grant(self, ask: AskLeases) -> Leases:
@@ -139,12 +138,8 @@
         return Done()
 
     def is_ready(self) -> bool:
-        """Say whether this daemon may grant what it owns, or has waited for that long enough."""
-        if self._clock.now() - self._started_at > LONGEST_WAIT:
-            return True
-        since = Millis(self._clock.wall() - self._wait)
-        established_at = self._voters.established_at
-        return established_at is not None and established_at <= since
+        """Say whether this daemon may grant what it owns."""
+        return self._voters.is_established_since(Millis(self._clock.wall() - self._wait))
 
     def _grant_one(self, target_id: str, ask: AskLeases) -> frozenset[int]:
         now = self._clock.now()
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from firtrestle import metrics
-from firtrestle.clocks import Millis, sleep
+from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.credits import merged_credits
 from firtrestle.errors import ErrorKind, Refused
 from firtrestle.events import EventLog
@@ -29,6 +29,7 @@
 MAX_EVENTS = 5_000  # in one answer
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 EVENT_POLL = Millis(50)
+LONGEST_WAIT = Millis(15_000)  # of a starting daemon for its part of what daemons share
 LONGEST_EVENT_WAIT = Millis(10_000)
 
 
@@ -49,6 +50,8 @@
     watchers: list[DocumentWatcher]
     clients: PeerClients
     peer_server: PeerServer
+    clock: Clock
+    started_at: Millis
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a request under the reserved prefix."""
@@ -74,8 +77,14 @@
         """Say whether callers should be sent here."""
         state = self.front.state
         serving = state.catalogue.revision > 0 and not state.stopping
+        return serving and (self._owns_its_parts() or self._has_waited_long())
+
+    def _owns_its_parts(self) -> bool:
         leased = self.leases.is_ready() and self.lease_keeper.is_ready()
-        return serving and self.shares.has_own_part() and leased
+        return self.shares.has_own_part() and leased
+
+    def _has_waited_long(self) -> bool:
+        return self.clock.now() - self.started_at > LONGEST_WAIT
 
     def status(self) -> dict[str, Any]:
         """Return what `firtrestle status` shows."""
--- a/packages/firtrestle/firtrestle/plugins/hedgers.py
+++ b/packages/firtrestle/firtrestle/plugins/hedgers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Sequence
+from functools import partial
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -40,22 +42,17 @@
 
     def __init__(self, clock: Clock) -> None:
         super().__init__(clock)
-        self._window_by_collection: dict[str, LatencyWindow] = {}
+        self._window_by_collection = defaultdict(partial(LatencyWindow, clock))
 
     def delay(self, progress: Progress) -> Millis | None:
-        window = self._window(progress.collection)
+        window = self._window_by_collection[progress.collection]
         return window.quantile(TRIGGER_PERCENT) if window.count >= MIN_SAMPLES else None
 
     def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
-        window = self._window(collection)
+        window = self._window_by_collection[collection]
         for latency in latencies:
             window.add(latency)
 
-    def _window(self, collection: str) -> LatencyWindow:
-        if collection not in self._window_by_collection:
-            self._window_by_collection[collection] = LatencyWindow(self._clock)
-        return self._window_by_collection[collection]
-
 
 class AdaptiveHedger(QuantileHedger):
     """Hedge what is late by the median of the query's own replies.
@@ -68,12 +65,12 @@
 
     def __init__(self, clock: Clock) -> None:
         super().__init__(clock)
-        self._ratios_by_collection: dict[str, LatencyWindow] = {}
+        self._ratios_by_collection = defaultdict(partial(LatencyWindow, clock))
 
     def delay(self, progress: Progress) -> Millis | None:
         if progress.shards == 1:
             return super().delay(progress)
-        ratios = self._ratios(progress.collection)
+        ratios = self._ratios_by_collection[progress.collection]
         ratio = FIRST_RATIO
         if ratios.count >= MIN_SAMPLES:
             ratio = max(LEAST_RATIO, ratios.quantile(TRIGGER_PERCENT))
@@ -84,15 +81,10 @@
         if len(latencies) < 2:
             return
         middle = max(SHORTEST_MEDIAN, median(latencies))
-        ratios = self._ratios(collection)
+        ratios = self._ratios_by_collection[collection]
         for latency in latencies:
             ratios.add(Millis(latency / middle))
 
-    def _ratios(self, collection: str) -> LatencyWindow:
-        if collection not in self._ratios_by_collection:
-            self._ratios_by_collection[collection] = LatencyWindow(self._clock)
-        return self._ratios_by_collection[collection]
-
 
 def register(kernel: Kernel) -> None:
     """Add the hedgers to the kernel."""
--- a/packages/firtrestle/firtrestle/retirements.py
+++ b/packages/firtrestle/firtrestle/retirements.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from dataclasses import dataclass
 
 from firtrestle.catalogues import Catalogue, Entry
+from firtrestle.counts import merged_counts
 from firtrestle.spreads import SpreadMap
 
 COMPARISON_PREFIX = "compared/"
+SAME = "same"
+DIFFERING = "differing"
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,10 +92,9 @@
 
 def merged_comparisons(items: SpreadMap) -> dict[Pair, Compared]:
     """Return the counts of all processes known here."""
-    totals: dict[Pair, list[int]] = defaultdict(lambda: [0, 0])
-    for item in items.under(COMPARISON_PREFIX).values():
-        for new, old, same, differing in item.value:
-            total = totals[Pair(new, old)]
-            total[0] += same
-            total[1] += differing
-    return {pair: Compared(*total) for pair, total in totals.items()}
+    totals = merged_counts(items, COMPARISON_PREFIX)
+    pairs = {Pair(new, old) for new, old, _ in totals}
+    return {
+        pair: Compared(totals[pair.new, pair.old, SAME], totals[pair.new, pair.old, DIFFERING])
+        for pair in pairs
+    }
--- a/packages/firtrestle/firtrestle/shares.py
+++ b/packages/firtrestle/firtrestle/shares.py
@@ -9,16 +9,15 @@
 
 import random
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import trio
 
 from firtrestle.catalogues import Catalogue, Entry
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, sleep
 from firtrestle.messages import Borrow, Loan
-from firtrestle.voters import LONGEST_WAIT, Voters
+from firtrestle.voters import CallDaemon, Voters
 
 ESTABLISHED_PART = 0.95  # of the limit, over all daemons that every other one knows
 NEWCOMER_PART = 0.05  # of an equal part, for a daemon that others may not know yet
@@ -31,8 +30,6 @@
 LENDERS_ASKED = 16  # at most, in one period
 LEAST_LOAN = 0.002  # of the limit
 
-CallDaemon = Callable[[str, Any], Awaitable[Any]]
-
 
 @dataclass(slots=True)
 class _Part:
@@ -62,12 +59,15 @@
         self._rng = rng
         self._share_by_entry: dict[str, _EntryShare] = {}
         self._own_since: Millis | None = None
-        self._started_at = clock.now()
 
     def has_own_part(self) -> bool:
-        """Say whether this daemon may use its whole part, or has waited for that long enough."""
-        waited = self._clock.now() - self._started_at
-        return self._owns_part() or waited > LONGEST_WAIT
+        """Say whether all others know this daemon, and loans from before its start are over."""
+        now = self._clock.now()
+        if self._voters.established_at is None:
+            return False
+        if self._own_since is None:
+            self._own_since = Millis(now + LOAN + MARGIN)
+        return now >= self._own_since
 
     def part(self, entry: Entry) -> float:
         """Return the part of an entry's limits, from 0 to 1, that queries may be let in on."""
@@ -107,7 +107,7 @@
         """Borrow for entries with more demand than share, for ever."""
         while True:
             await sleep(Millis(PERIOD * self._rng.uniform(0.8, 1.2)))
-            self._owns_part()  # starts the wait for old loans as soon as this daemon is established
+            self.has_own_part()  # starts the wait for old loans once this daemon is established
             async with trio.open_nursery() as nursery:
                 for name in list(self._share_by_entry):
                     entry = catalogue().by_name.get(name)
@@ -143,18 +143,9 @@
 
     def _base(self) -> float:
         """Return this daemon's own part, small until all others know it and old loans are over."""
-        part = ESTABLISHED_PART if self._owns_part() else NEWCOMER_PART
+        part = ESTABLISHED_PART if self.has_own_part() else NEWCOMER_PART
         return part / self._fleet_size()
 
-    def _owns_part(self) -> bool:
-        """Say whether all others know this daemon, and loans from before its start are over."""
-        now = self._clock.now()
-        if self._voters.established_at is None:
-            return False
-        if self._own_since is None:
-            self._own_since = Millis(now + LOAN + MARGIN)
-        return now >= self._own_since
-
     def _fleet_size(self) -> int:
         return len(self._voters.others()) + 1
 
--- a/packages/firtrestle/firtrestle/voters.py
+++ b/packages/firtrestle/firtrestle/voters.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 from firtrestle.clocks import Clock, Millis
 from firtrestle.messages import Join
@@ -12,7 +14,7 @@
 from firtrestle.settings import ClaimSettings
 from firtrestle.vm_lists import VmList
 
-LONGEST_WAIT = Millis(15_000)  # of a starting daemon for its part of what daemons share
+CallDaemon = Callable[[str, Any], Awaitable[Any]]  # by id, this daemon included
 
 
 @dataclass(slots=True)
@@ -108,6 +110,10 @@
         """Start to vote: every daemon that may be alive knows this one."""
         self.established_at = self._clock.wall()
 
+    def is_established_since(self, moment: Millis) -> bool:
+        """Say whether this daemon has voted since a moment, in ms since the Unix epoch."""
+        return self.established_at is not None and self.established_at <= moment
+
     def group(self, key: str) -> list[str]:
         """Return the daemons that hold a key."""
         return rank(key, self._by_id)[: self._settings.group_size]
@@ -121,7 +127,7 @@
         since = Millis(issued_at - self._settings.clock_skew_ms)
         groups = [rank(key, ids)[: self._settings.group_size] for ids in self.sets_since(since)]
         quorum = max(len(group) for group in groups) // 2 + 1
-        if self.established_at is None or self.established_at > since:
+        if not self.is_established_since(since):
             return Standing(False, quorum, "the daemon is younger than the key")
         if not all(self.my_id in group for group in groups):
             return Standing(False, quorum, "the daemon has not held the key throughout")
