--- /dev/null
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -0,0 +1,119 @@
+"""Bound the repeated requests that each service gets, over sliding windows and all daemons."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from firtrestle.clocks import Clock, Millis
+
+SAFETY = 0.9  # of what is allowed: sends arrive later than they are counted
+HEDGE_SHARE = 0.7  # of a window's allowance that hedges may use, the rest is left to retries
+SLICES = 20  # of a window
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatTerms:
+    """Hold the operator's bound: `ratio` of the requests plus `slack`, in each window."""
+
+    ratio: float
+    slack: float
+    window: Millis
+
+
+@dataclass(slots=True)
+class _Window:
+    """Count events by slices of a window; what is a slice too old still counts."""
+
+    length: Millis
+    slices: deque[tuple[int, int]] = field(default_factory=deque)
+    total: int = 0
+
+    def add(self, now: Millis) -> None:
+        number = int(now / (self.length / SLICES))
+        if self.slices and self.slices[-1][0] == number:
+            self.slices[-1] = (number, self.slices[-1][1] + 1)
+        else:
+            self.slices.append((number, 1))
+        self.total += 1
+
+    def count(self, now: Millis, slices: int = SLICES) -> int:
+        number = int(now / (self.length / SLICES))
+        while self.slices and self.slices[0][0] < number - slices:
+            self.total -= self.slices.popleft()[1]
+        return self.total
+
+
+class RepeatBudget:
+    """Grant repeats of one service's requests to one daemon.
+
+    The daemon's own requests earn its part of the ratio; the slack is divided by the daemons that
+    may be up. What peers do need not be known, so that a cut or a kill can't exceed the sum.
+    """
+
+    def __init__(self, terms: RepeatTerms, clock: Clock) -> None:
+        self._terms = terms
+        self._clock = clock
+        self._requests = _Window(terms.window)
+        self._repeats = _Window(terms.window)
+
+    def earn(self) -> None:
+        """Count a request that a caller sent."""
+        self._requests.add(self._clock.now())
+
+    def left(self, slack: float) -> float:
+        """Return how many more repeats fit into the window; `slack` is this daemon's part."""
+        return self._allowed(slack) - self._repeats.count(self._clock.now(), SLICES + 1)
+
+    def scarcity(self, slack: float) -> float:
+        """Return 0 for an unused window, 1 for a used one."""
+        allowed = self._allowed(slack)
+        return 1.0 if allowed <= 0 else min(1.0, 1.0 - self.left(slack) / allowed)
+
+    def spend(self, slack: float, hedge: bool = False) -> bool:
+        """Take the right to one repeat; hedges leave a reserve for retries."""
+        reserve = self._allowed(slack) * (1.0 - HEDGE_SHARE) if hedge else 0.0
+        if self.left(slack) - reserve < 1.0:
+            return False
+        self._repeats.add(self._clock.now())
+        return True
+
+    def _allowed(self, slack: float) -> float:
+        requests = self._requests.count(self._clock.now(), SLICES - 1)
+        return SAFETY * (requests * self._terms.ratio + slack)
+
+
+class RepeatBudgets:
+    """Keep the budgets by service, and this daemon's part of the slack."""
+
+    def __init__(self, terms: RepeatTerms, clock: Clock, started_at: Millis) -> None:
+        self._terms = terms
+        self._clock = clock
+        self._started_at = started_at
+        self._budget_by_service: dict[str, RepeatBudget] = {}
+        self.fleet_size = 0  # daemons that may be up; 0 while unknown
+
+    def of(self, service: str) -> RepeatBudget:
+        """Return a service's budget."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = RepeatBudget(self._terms, self._clock)
+            self._budget_by_service[service] = budget
+        return budget
+
+    def forget_but(self, services: set[str]) -> None:
+        """Drop the budgets of services that no route names any more."""
+        for name in set(self._budget_by_service) - services:
+            del self._budget_by_service[name]
+
+    @property
+    def slack(self) -> float:
+        """Return this daemon's part of the slack.
+
+        It grows over the first window: a daemon that was restarted may have spent its part just
+        before. While the fleet's size is unknown there is none.
+        """
+        if not self.fleet_size:
+            return 0.0
+        grown = min(1.0, (self._clock.now() - self._started_at) / self._terms.window)
+        return self._terms.slack / self.fleet_size * grown
--- a/packages/firtrestle/firtrestle/searches.py
+++ b/packages/firtrestle/firtrestle/searches.py
@@ -9,8 +9,8 @@
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.events import EventKind
 from firtrestle.gather_tools import GatherTools
-from firtrestle.gathers import Gather
 from firtrestle.queries import Gathered, Query
+from firtrestle.snapshot_gathers import SnapshotGather
 from firtrestle.snapshots import Snapshot, build_snapshots, pin
 
 MAX_MOVES = 3
@@ -53,7 +53,7 @@
         sent = 0
         for moves in itertools.count():
             self._note_pin(query, snapshot)
-            gather = Gather(self._tools, query, snapshot, numbers)
+            gather = SnapshotGather(self._tools, query, snapshot, numbers)
             result = await gather.run(may_move=moves < MAX_MOVES)
             sent += result.sent
             if isinstance(result, Gathered):
@@ -62,7 +62,7 @@
                 return Refused(ErrorKind.QUARANTINED, Ran.TRUE)
             newer = await self._newer_snapshot(query, result)
             if newer is None:
-                gather = Gather(self._tools, query, snapshot, numbers)
+                gather = SnapshotGather(self._tools, query, snapshot, numbers)
                 last = await gather.run(may_move=False)
                 if isinstance(last, Gathered):
                     return self._checked(query, last, sent + last.sent)
--- a/packages/firtrestle/tests/fakes.py
+++ b/packages/firtrestle/tests/fakes.py
@@ -11,7 +11,6 @@
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.events import EventLog
 from firtrestle.gather_tools import GatherTools
-from firtrestle.gathers import Gather
 from firtrestle.holders import FINISHED
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.plugins.hedgers import AdaptiveHedger
@@ -20,6 +19,7 @@
 from firtrestle.queries import Query
 from firtrestle.replicas import Replicas
 from firtrestle.settings import QuarantineSettings, TargetSettings
+from firtrestle.snapshot_gathers import SnapshotGather
 from firtrestle.snapshots import ReplicaId, Snapshot
 from firtrestle.spreads import SpreadMap
 
@@ -127,4 +127,4 @@
     tools: GatherTools, snapshot_: Snapshot, number: int = 1, timeout: float = 1_000, **changes: Any
 ) -> Any:
     asked = query(number, timeout, **changes)
-    return await Gather(tools, asked, snapshot_, itertools.count(1)).run()
+    return await SnapshotGather(tools, asked, snapshot_, itertools.count(1)).run()
