--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,11 @@
 
 .PHONY: setup test lint demo playground bench soak slopes overheads clean
 
-$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation \
-		-e packages/firtrestle -e packages/firtrestle-client -e packages/firtrestle-standins
+		-e packages/firtrestle -e platform -e packages/firtrestle-client -e packages/firtrestle-standins
 	touch $(STAMP)
 
 setup: $(STAMP)
--- /dev/null
+++ b/packages/firtrestle/firtrestle/answers.py
@@ -0,0 +1,63 @@
+"""Merge the replies of services into one answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+from firtrestle.part_replies import PartReply
+from firtrestle.routes import MergeRule, TopRecords, WholeReply
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold an answer: the stamps of the replies in it and how many services are left out.
+
+    `parts` is false where one instance's reply goes back as it came.
+    """
+
+    status: int
+    body: bytes
+    stamps: tuple[str, ...] = ()
+    missing: int = 0
+    parts: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True)
+class Parts:
+    """Hold the replies of the services asked, by service."""
+
+    services: tuple[str, ...]
+    reply_by_service: dict[str, PartReply] = field(default_factory=dict)
+
+    @property
+    def coverage(self) -> float:
+        """Return the share of the services that replied."""
+        return len(self.reply_by_service) / len(self.services)
+
+
+@singledispatch
+def merge(rule: MergeRule, parts: Parts) -> Answer:
+    """Merge at least one reply by a route's rule."""
+    raise TypeError(f"no merge for {type(rule).__name__}")
+
+
+@merge.register
+def _merge_whole(rule: WholeReply, parts: Parts) -> Answer:
+    (reply,) = parts.reply_by_service.values()
+    return Answer(reply.status, reply.body, (reply.stamp,), headers=reply.headers)
+
+
+@merge.register
+def _merge_top(rule: TopRecords, parts: Parts) -> Answer:
+    size = rule.record_bytes
+    records = [
+        reply.body[start : start + size]
+        for reply in parts.reply_by_service.values()
+        for start in range(0, len(reply.body) - size + 1, size)
+    ]
+    records.sort(reverse=True)
+    stamps = tuple(reply.stamp for reply in parts.reply_by_service.values())
+    missing = len(parts.services) - len(stamps)
+    return Answer(200, b"".join(records[: rule.count]), stamps, missing, parts=True)
--- a/packages/firtrestle/firtrestle/attempts.py
+++ b/packages/firtrestle/firtrestle/attempts.py
@@ -57,6 +57,7 @@
 
     number: int
     tries: int = 0
+    unreached: int = 0  # tries that took no byte of the request to a target
     tried: set[ReplicaId] = field(default_factory=set)
     attempts: list[Attempt] = field(default_factory=list)
     hedges: int = 0
--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -30,6 +30,7 @@
 from firtrestle.kernels import Kernel, UnknownPolicy
 from firtrestle.lease_keepers import LeaseKeeper
 from firtrestle.leases import LeaseTable, LotOwners
+from firtrestle.listeners import listen
 from firtrestle.logs import configure_logs
 from firtrestle.members import Members
 from firtrestle.messages import Borrow, Loan
@@ -42,6 +43,7 @@
 from firtrestle.quarantines import Quarantines
 from firtrestle.replicas import Replicas
 from firtrestle.retirements import merged_comparisons, retirement_faults
+from firtrestle.route_daemons import RouteDaemon
 from firtrestle.settings import Settings, load_settings
 from firtrestle.shares import Shares
 from firtrestle.spreads import Item, Spreader, SpreadMap
@@ -55,7 +57,6 @@
 CREDIT_SPREAD_PAUSE = Millis(1_000)
 CREDIT_PAUSE_PER_DAEMON = Millis(100)  # so that all daemons together spread ten times a second
 STOP_POLL = Millis(20)
-LISTEN_BACKLOG = 1_024
 COLLECTOR_THRESHOLD = 50_000  # allocations; fewer passes, so fewer pauses
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -197,8 +198,8 @@
     async def run(self) -> None:
         """Serve until stopped; raise OSError when a port can't be had."""
         daemon = self.settings.daemon
-        callers = await _listen(daemon.address, daemon.port)
-        peers = await _listen(daemon.address, daemon.peer_port)
+        callers = await listen(daemon.address, daemon.port)
+        peers = await listen(daemon.address, daemon.peer_port)
         self.events.add(EventKind.STARTED, role="daemon", data_centre=daemon.data_centre)
         logger.info("serving callers on port {}, peers on {}", daemon.port, daemon.peer_port)
         start = self._nursery.start_soon
@@ -304,11 +305,6 @@
         self._tools.replicas.forget_but(set(vms.targets()))
 
 
-async def _listen(address: str, port: int) -> trio.SocketListener:
-    listeners = await trio.open_tcp_listeners(port, host=address, backlog=LISTEN_BACKLOG)
-    return listeners[0]
-
-
 def _catalogue_faults(text: str, revision: int) -> list[str]:
     parsed = parse_catalogue(text, revision)
     return [str(fault) for fault in parsed] if isinstance(parsed, list) else []
@@ -322,8 +318,8 @@
 async def serve(settings: Settings, kernel: Kernel) -> None:
     """Run one daemon until it is told to stop."""
     async with trio.open_nursery() as nursery:
-        daemon = Daemon(settings, kernel, nursery)
-        await daemon.run()
+        kind = RouteDaemon if settings.routes.source else Daemon
+        await kind(settings, kernel, nursery).run()
 
 
 @app.command()
@@ -357,6 +353,8 @@
         kernel.choosers.get(settings.policies.chooser)
         kernel.hedgers.get(settings.policies.hedger)
         kernel.admitters.get(settings.policies.admitter)
+        if settings.routes.source:
+            kernel.sources.get(settings.routes.source)
     except (ImportError, AttributeError, UnknownPolicy) as error:
         typer.echo(f"{settings_file}: {error}", err=True)
         raise typer.Exit(EXIT_BAD_SETTINGS) from error
--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import json
+import select
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import h11
 import trio
 
-from firtrestle.clocks import Millis, move_on_after
+from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 
 CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_REPLY_BYTES = 16_000_000
+KEEP_ALIVE_MARGIN = Millis(500)  # before a server's time-out, for a request on its way
+LONGEST_KEEP_ALIVE = Millis(60_000)  # where a server names no time-out
+MAX_BYTES_SENT_BLIND = 16_384  # fits into socket buffers, so that sending doesn't wait for reading
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +36,14 @@
         except ValueError:
             return None
 
+    def keep_alive(self) -> Millis:
+        """Return how long the server keeps the idle connection, with a margin; long if unsaid."""
+        for part in self.headers.get("keep-alive", "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isascii() and value.isdigit():
+                return Millis(int(value) * MILLIS_PER_SECOND - KEEP_ALIVE_MARGIN)
+        return LONGEST_KEEP_ALIVE
+
 
 @dataclass(frozen=True, slots=True)
 class HttpFailure:
@@ -64,31 +77,68 @@
         self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
     ) -> HttpReply | HttpFailure:
         """Send one request and read its reply; on cancellation the connection is spent."""
-        head = h11.Request(
-            method=method,
-            target=path,
-            headers=[
-                ("Host", self._host),
-                ("Content-Length", str(len(body))),
-                *(headers or {}).items(),
-            ],
-        )
+        named = [
+            ("Host", self._host),
+            ("Content-Length", str(len(body))),
+            *(headers or {}).items(),
+        ]
+        return await self.exchange(method, path, named, body)
+
+    async def exchange(
+        self, method: str, target: str, headers: Sequence[tuple[str, str]], body: bytes = b""
+    ) -> HttpReply | HttpFailure:
+        """Send one request with just these headers and read its reply.
+
+        A reply may come before the server has read the whole body; such a connection is spent, as
+        is one with bytes after its reply.
+        """
         finished = False
         sent = False
+        outcome: HttpReply | HttpFailure
         try:
+            head = h11.Request(method=method, target=target, headers=list(headers))
             data = self._http.send(head) + self._http.send(h11.Data(data=body))
             data += self._http.send(h11.EndOfMessage())
             sent = True
-            await self._stream.send_all(data)
-            reply = await self._read_reply()
-            finished = isinstance(reply, HttpReply) and self._start_next()
-            return reply
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            return HttpFailure(sent, f"the connection broke: {error}")
-        except h11.ProtocolError as error:
-            return HttpFailure(sent, f"the server broke the protocol: {error}")
+            if len(data) <= MAX_BYTES_SENT_BLIND:
+                await self._stream.send_all(data)
+                reply = await self._read_reply()
+                is_sent = True
+            else:
+                reply, is_sent = await self._send_while_reading(data)
+            finished = isinstance(reply, HttpReply) and is_sent and self._start_next()
+            outcome = reply
+        except* (trio.BrokenResourceError, trio.ClosedResourceError) as errors:
+            outcome = HttpFailure(sent, f"the connection broke: {_first(errors)}")
+        except* h11.ProtocolError as errors:
+            outcome = HttpFailure(sent, f"the protocol was broken: {_first(errors)}")
         finally:
             self.usable = finished
+        return outcome
+
+    async def _send_while_reading(self, data: bytes) -> tuple[HttpReply | HttpFailure, bool]:
+        """Return the reply, and whether all bytes had been sent when it was there."""
+        sent_all = False
+        reply: HttpReply | HttpFailure = HttpFailure(True, "no reply came")
+
+        async def send() -> None:
+            nonlocal sent_all
+            await self._stream.send_all(data)
+            sent_all = True
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            reply = await self._read_reply()
+            nursery.cancel_scope.cancel()
+        return reply, sent_all
+
+    def is_quiet(self) -> bool:
+        """Say whether nothing has come since the last reply: neither surplus bytes nor an end."""
+        if self._http.trailing_data[0]:
+            return False
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
 
     async def close(self) -> None:
         """Close the connection."""
@@ -116,6 +166,8 @@
                 return HttpFailure(True, "the server closed the connection")
 
     def _start_next(self) -> bool:
+        if self._http.trailing_data[0]:
+            return False
         try:
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
@@ -123,6 +175,13 @@
         return True
 
 
+def _first(errors: BaseExceptionGroup) -> BaseException:
+    error: BaseException = errors
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 async def fetch(
     address: str, method: str, path: str, timeout: Millis, body: bytes = b"", **headers: str
 ) -> HttpReply | HttpFailure:
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -30,6 +30,8 @@
     parameters: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    target: str = ""  # path and query as they came
+    header_list: tuple[tuple[str, str], ...] = ()  # as they came, but for the case of names
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header's value."""
@@ -62,6 +64,7 @@
     max_body_bytes: int = 65_536
     read_timeout: Millis = Millis(5_000)
     idle_timeout: Millis = Millis(60_000)
+    max_head_bytes: int = MAX_HEAD_BYTES
 
 
 class HttpServer:
@@ -115,7 +118,10 @@
         self._server = server
         self._bounds = server.bounds
         self._stream = stream
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._method = ""
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._bounds.max_head_bytes
+        )
 
     async def run(self) -> None:
         while await self._serve_one():
@@ -172,6 +178,7 @@
                 self._http.receive_data(await self._stream.receive_some(CHUNK_BYTES))
             elif isinstance(event, h11.Request):
                 head = event
+                self._method = event.method.decode()
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._bounds.max_body_bytes:
@@ -219,6 +226,9 @@
             await self._send(response, last=True)
         return False
 
+    def _answers_head(self) -> bool:
+        return self._method == "HEAD"
+
     async def _send(self, response: HttpResponse, last: bool) -> None:
         headers = [
             ("Content-Type", response.content_type),
@@ -228,7 +238,9 @@
         if last:
             headers.append(("Connection", "close"))
         head = h11.Response(status_code=response.status, headers=headers)
-        data = self._http.send(head) + self._http.send(h11.Data(data=response.body))
+        data = self._http.send(head)
+        if not self._answers_head():
+            data += self._http.send(h11.Data(data=response.body))
         data += self._http.send(h11.EndOfMessage())
         with move_on_after(self._bounds.read_timeout) as scope:
             await self._stream.send_all(data)
@@ -240,4 +252,12 @@
     target = urlsplit(head.target.decode("ascii", "replace"))
     headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
     parameters = dict(parse_qsl(target.query))
-    return HttpRequest(head.method.decode(), target.path, parameters, headers, body)
+    return HttpRequest(
+        head.method.decode(),
+        target.path,
+        parameters,
+        headers,
+        body,
+        head.target.decode("latin-1"),
+        tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers),
+    )
--- a/packages/firtrestle/firtrestle/kernels.py
+++ b/packages/firtrestle/firtrestle/kernels.py
@@ -9,7 +9,10 @@
 from firtrestle.admitters import Admitter
 from firtrestle.credits import CreditLedger
 from firtrestle.hedgers import Hedger
+from firtrestle.part_replies import InstanceCodec
 from firtrestle.replica_choosers import ReplicaChooser
+from firtrestle.route_fronts import CallerCodec
+from firtrestle.route_sources import RouteSource
 
 Policy = TypeVar("Policy")
 
@@ -44,6 +47,8 @@
         self.choosers: Registry[ReplicaChooser] = Registry("replica chooser")
         self.hedgers: Registry[Hedger] = Registry("hedger")
         self.admitters: Registry[Admitter] = Registry("admitter")
+        self.sources: Registry[RouteSource] = Registry("route source")
+        self.codecs: dict[str, tuple[CallerCodec, InstanceCodec]] = {}  # by their source's name
         self.ledger = CreditLedger()
         self.hooks: list[object] = []
 
--- a/packages/firtrestle/firtrestle/members.py
+++ b/packages/firtrestle/firtrestle/members.py
@@ -81,7 +81,9 @@
         clock: Clock,
         events: EventLog,
         rng: random.Random,
+        seeds: tuple[PeerAddress, ...] = (),
     ) -> None:
+        self._seeds = tuple(one for one in seeds if one != me.address)
         self.me = me
         self.by_id: dict[str, Member] = {}
         self.version = 0
@@ -234,10 +236,9 @@
     def _next_to_ping(self) -> tuple[str, PeerAddress] | None:
         self._pings += 1
         if self._pings % PINGS_PER_REVIVAL == 0:
-            silent = [vm for vm in self.listed_peers() if not self._is_live(vm.id)]
+            silent = self._addresses_not_live()
             if silent:
-                vm = self._rng.choice(silent)
-                return vm.id, PeerAddress(vm.host, vm.peer_port)
+                return self._rng.choice(silent)
         while self._order:
             member = self.by_id.get(self._order.pop())
             if member is not None and member.status <= MemberStatus.SUSPECT:
@@ -247,11 +248,25 @@
         if self._order:
             member = self.by_id[self._order.pop()]
             return member.id, member.address
-        unknown = [vm for vm in self.listed_peers() if not self._is_live(vm.id)]
-        if not unknown:
-            return None
-        vm = self._rng.choice(unknown)
-        return vm.id, PeerAddress(vm.host, vm.peer_port)
+        unknown = self._addresses_not_live()
+        return self._rng.choice(unknown) if unknown else None
+
+    def _addresses_not_live(self) -> list[tuple[str, PeerAddress]]:
+        """Return the listed daemons, members and seeds that are not known to live."""
+        found = {
+            PeerAddress(vm.host, vm.peer_port): vm.id
+            for vm in self.listed_peers()
+            if not self._is_live(vm.id)
+        }
+        live = {member.address for member in self.live()}
+        for address in self._seeds:
+            if address not in live:
+                found.setdefault(address, str(address))
+        if not self._listed_by_id:
+            for member in self.by_id.values():
+                if member.status == MemberStatus.DEAD:
+                    found.setdefault(member.address, member.id)
+        return [(name, address) for address, name in found.items()]
 
     def _take_to_probe(self) -> list[str]:
         found, self._probe_now = self._probe_now, set()
--- a/packages/firtrestle/firtrestle/peers.py
+++ b/packages/firtrestle/firtrestle/peers.py
@@ -39,6 +39,12 @@
     host: str
     port: int
 
+    @classmethod
+    def from_text(cls, text: str) -> PeerAddress:
+        """Read "IP:port"."""
+        host, _, port = text.rpartition(":")
+        return cls(host, int(port))
+
 
 @dataclass(frozen=True, slots=True)
 class PeerFailure:
--- a/packages/firtrestle/firtrestle/plugins/hedgers.py
+++ b/packages/firtrestle/firtrestle/plugins/hedgers.py
@@ -17,6 +17,7 @@
 
 MIN_SAMPLES = 60
 TRIGGER_PERCENT = 98.5
+EAGER_PERCENT = 90.0  # a tenth of the sub-requests are hedged where a fifth may be repeated
 LEAST_RATIO = 1.2  # of a query's median reply
 FIRST_RATIO = 3.0  # before enough replies are known
 SHORTEST_MEDIAN = Millis(0.1)
@@ -86,8 +87,20 @@
             ratios.add(Millis(latency / middle))
 
 
+class EagerHedger(QuantileHedger):
+    """Hedge at an early quantile, for routes whose budget of repeats is ample."""
+
+    name = "eager"
+    least_answered = 0.0
+
+    def delay(self, progress: Progress) -> Millis | None:
+        window = self._window_by_collection[progress.collection]
+        return window.quantile(EAGER_PERCENT) if window.count >= MIN_SAMPLES else None
+
+
 def register(kernel: Kernel) -> None:
     """Add the hedgers to the kernel."""
     kernel.hedgers.add(NoHedger)
     kernel.hedgers.add(QuantileHedger)
     kernel.hedgers.add(AdaptiveHedger)
+    kernel.hedgers.add(EagerHedger)
--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -14,6 +14,7 @@
 
 MIN_SAMPLES = 8  # replies before a replica's latency is trusted
 TYPICAL_LATENCY = Millis(5)
+LATENCY_HALF_LIFE = Millis(1_500)  # of what a silent replica was thought slower than the fastest
 HINT_WEIGHT = 0.25  # of the queue that the holder reports, which is a moment old
 
 
@@ -52,7 +53,30 @@
         return 3.0 - 2.0 * age / self._settings.slow_start_ms
 
 
+class AgedLeastInFlight(LeastInFlight):
+    """Rank as its base does, but let what is known of a replica fade while it gets no work."""
+
+    name = "aged-least-in-flight"
+
+    def choose(self, replicas: Sequence[Replica]) -> Replica | None:
+        if not replicas:
+            return None
+        now = self._clock.now()
+        fit = [one for one in replicas if not one.is_ejected(now)] or list(replicas)
+        trusted = [one.latency for one in fit if one.samples >= MIN_SAMPLES]
+        floor = min(trusted, default=TYPICAL_LATENCY)
+        return min(fit, key=lambda one: self._aged_rank(one, floor, now))
+
+    def _aged_rank(self, replica: Replica, floor: Millis, now: Millis) -> tuple[float, float]:
+        load = 1 + replica.in_flight + replica.queue(now) * HINT_WEIGHT
+        latency = replica.latency if replica.samples else floor
+        faded = 0.5 ** ((now - replica.noted_at) / LATENCY_HALF_LIFE)
+        aged = max(floor, floor + (latency - floor) * faded)
+        return load * max(aged, 0.1) * self._warm_up_factor(replica), self._rng.random()
+
+
 def register(kernel: Kernel) -> None:
     """Add the choosers to the kernel."""
     kernel.choosers.add(RandomReplica)
     kernel.choosers.add(LeastInFlight)
+    kernel.choosers.add(AgedLeastInFlight)
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -28,6 +28,7 @@
     in_flight: int = 0
     queue_hint: int = 0
     hinted_at: Millis = Millis(0)
+    noted_at: Millis = Millis(0)
     latency: Millis = Millis(0)
     samples: int = 0
     ejected_until: Millis = Millis(0)
@@ -37,7 +38,7 @@
     def note(self, outcome: SubOutcome, latency: Millis, queue: int, now: Millis) -> None:
         """Take in how one sub-request ended."""
         self.queue_hint = queue
-        self.hinted_at = now
+        self.hinted_at = self.noted_at = now
         if outcome is SubOutcome.OK:
             self._take_latency(latency)
             self._take_clean()
@@ -48,8 +49,10 @@
         """Return the queue that the holder reported a moment ago, 0 when that is too long ago."""
         return self.queue_hint if now - self.hinted_at < HINT_LIFE else 0
 
-    def note_slow(self, latency: Millis) -> None:
+    def note_slow(self, latency: Millis, now: Millis | None = None) -> None:
         """Take in that a reply given up on had taken at least this long."""
+        if now is not None:
+            self.noted_at = now
         if latency > self.latency:
             self._take_latency(latency)
 
@@ -93,6 +96,11 @@
             self.by_id[replica_id] = replica
         return replica
 
+    def forget(self, replica_ids: set[ReplicaId]) -> None:
+        """Drop the records of replicas that are gone."""
+        for replica_id in replica_ids:
+            self.by_id.pop(replica_id, None)
+
     def forget_but(self, target_ids: set[str]) -> None:
         """Drop the replicas of targets that are gone."""
         for replica_id in [one for one in self.by_id if one.target_id not in target_ids]:
--- /dev/null
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -0,0 +1,245 @@
+"""Run a daemon that serves routes over services."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from typing import Any
+
+import trio
+from loguru import logger
+
+from firtrestle import signals
+from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.events import EventKind, EventLog
+from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
+from firtrestle.instance_pools import InstancePools
+from firtrestle.instances import Instances
+from firtrestle.kernels import Kernel
+from firtrestle.listeners import listen
+from firtrestle.members import Members
+from firtrestle.messages import Done, Ping, PingFor, Pull
+from firtrestle.metrics import exposition
+from firtrestle.pauses import PauseGuard
+from firtrestle.peer_servers import PeerServer
+from firtrestle.peers import PeerAddress, PeerClients, PeerFailure
+from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
+from firtrestle.replicas import Replicas
+from firtrestle.route_fronts import RouteFront, RouteState
+from firtrestle.route_sources import News
+from firtrestle.routes import RouteTable
+from firtrestle.service_gathers import ServiceTools
+from firtrestle.settings import Settings
+from firtrestle.snapshots import ReplicaId
+from firtrestle.spreads import Spreader, SpreadMap
+
+HOUSEKEEPING_PAUSE = Millis(500)
+STOP_POLL = Millis(20)
+FLUSH_PAUSE = Millis(50)  # for the last answers to leave before the process ends
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class RouteDaemon:
+    """Build the parts of one daemon over a route source, and run them."""
+
+    def __init__(self, settings: Settings, kernel: Kernel, nursery: trio.Nursery) -> None:
+        self.settings = settings
+        self.clock = clock = Clock()
+        self.incarnation = time.time_ns() // 1_000_000
+        self._nursery = nursery
+        rng = random.Random(f"{settings.daemon.id}/{self.incarnation}")
+        self._events = EventLog(
+            settings.daemon.id, self.incarnation, clock, settings.events.capacity
+        )
+        self.items = SpreadMap()
+        self._spreader = Spreader(self.items, settings.peers.fanout, rng, clock)
+        self._clients = PeerClients(nursery)
+        self._members = Members(
+            Members.me_from_config(settings.daemon, self.incarnation),
+            settings.peers,
+            self._spreader,
+            self._clients,
+            clock,
+            self._events,
+            rng,
+            tuple(PeerAddress.from_text(one) for one in settings.routes.seeds),
+        )
+        self._pauses = PauseGuard(
+            clock, self._events, Millis(settings.peers.pause_ms), self._members.refresh
+        )
+        self._peer_server = PeerServer(self._serve_peer, _refuse_sub_request)
+        source = kernel.sources.get(settings.routes.source)
+        caller_codec, instance_codec = kernel.codecs[settings.routes.source]
+        self._replicas = Replicas(clock)
+        self._pools = InstancePools(instance_codec, clock, nursery)
+        self.instances = Instances(clock, self._forget)
+        self._budgets = self._build_budgets()
+        tools = ServiceTools(
+            clock=clock,
+            rng=rng,
+            replicas=self._replicas,
+            chooser=kernel.choosers.get(settings.policies.chooser).from_config(
+                settings.targets, clock, rng
+            ),
+            hedger=kernel.hedgers.get(settings.policies.hedger).from_config(clock),
+            instances=self.instances,
+            pools=self._pools,
+            budgets=self._budgets,
+        )
+        self.state = RouteState(RouteTable())
+        self.front = RouteFront(self.state, tools, caller_codec, rng)
+        news = News(self.items, self.instances, clock, self._apply)
+        self._source = source.from_config(settings, news, clock, rng)
+        news.start(self._source.parse_routes)
+        front = settings.front
+        bounds = HttpBounds(
+            front.max_body_bytes, Millis(front.read_timeout_ms), Millis(front.idle_timeout_ms)
+        )
+        self._http = HttpServer(self._handle, bounds, front.max_connections)
+        self._ready_http = HttpServer(self._answer_operator, HttpBounds(), front.max_connections)
+
+    def _build_budgets(self) -> RepeatBudgets:
+        routes = self.settings.routes
+        terms = RepeatTerms(
+            routes.repeat_ratio, routes.repeat_slack, Millis(routes.repeat_window_ms)
+        )
+        return RepeatBudgets(terms, self.clock, self.clock.now())
+
+    async def run(self) -> None:
+        """Serve until stopped; raise OSError when a port can't be had."""
+        daemon = self.settings.daemon
+        callers = await listen(daemon.address, daemon.port)
+        ready = await listen(daemon.address, self.settings.routes.ready_port)
+        peers = await listen(daemon.address, daemon.peer_port)
+        logger.bind(port=daemon.port, incarnation=self.incarnation).info("started")
+        start = self._nursery.start_soon
+        listening = trio.CancelScope()
+        start(self._accept, callers, self._http.serve, listening)
+        start(self._accept, ready, self._ready_http.serve, trio.CancelScope())
+        start(self._accept, peers, self._peer_server.serve, trio.CancelScope())
+        start(self._spreader.push_changes, self._members.live_peers, self._members.call)
+        start(self._members.run)
+        start(self._pauses.run)
+        start(self._source.run)
+        start(self._keep_house)
+        start(self._note_reloads)
+        await self._wait_for_stop(listening)
+
+    async def _accept(self, listener: Any, serve: Any, scope: trio.CancelScope) -> None:
+        with scope:
+            await trio.serve_listeners(serve, [listener], handler_nursery=self._nursery)
+
+    async def _keep_house(self) -> None:
+        """Drop what is stale, and follow the fleet's size, for ever."""
+        while True:
+            self.instances.expire()
+            self._pools.close_stale()
+            self._budgets.fleet_size = self._fleet_size()
+            await sleep(HOUSEKEEPING_PAUSE)
+
+    def _fleet_size(self) -> int:
+        """Return how many daemons may be up: all ever heard of, so that a cut changes nothing."""
+        known = len(self._members.by_id)
+        return max(known, self.settings.routes.least_fleet_size)
+
+    async def _note_reloads(self) -> None:
+        """Log a request to reload; settings come into force with the next start."""
+        with trio.open_signal_receiver(signal.SIGHUP) as received:
+            async for _ in received:
+                logger.info("reload asked for; settings are read at the next start")
+
+    async def _wait_for_stop(self, listening: trio.CancelScope) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for _ in received:
+                break
+        await self._stop(listening)
+        self._nursery.cancel_scope.cancel()
+
+    async def _stop(self, listening: trio.CancelScope) -> None:
+        """Be not ready, finish every request, and return within the grace."""
+        logger.bind(running=self.state.running).info("stopping")
+        self._events.add(EventKind.STOPPING)
+        self.state.stopping = True
+        self._members.leave()
+        self._http.close_after_answers()
+        with move_on_after(Millis(self.settings.routes.stop_ms)):
+            await sleep(Millis(self.settings.front.drain_ms))
+            listening.cancel()
+            self._http.close_idle()
+            while self.state.running or self._http.open_connections:
+                await sleep(STOP_POLL)
+        await sleep(FLUSH_PAUSE)
+        logger.bind(running=self.state.running).info("stopped")
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        await self._pauses.settle()
+        return await self.front.handle(request)
+
+    async def _answer_operator(self, request: HttpRequest) -> HttpResponse:
+        match request.path:
+            case "/ready" | "/-/ready":
+                return HttpResponse.from_json(
+                    {"ready": self.is_ready()}, 200 if self.is_ready() else 503
+                )
+            case "/-/metrics":
+                return HttpResponse(200, exposition(), METRICS_TYPE)
+            case "/-/status":
+                return HttpResponse.from_json(self.status())
+        return HttpResponse.from_json({"error": "nothing is served here"}, 404)
+
+    def is_ready(self) -> bool:
+        """Say whether callers should be sent here."""
+        return self.state.table.version > 0 and not self.state.stopping
+
+    def status(self) -> dict[str, Any]:
+        """Return what `firtrestle status` shows."""
+        return {
+            "daemon": self.settings.daemon.id,
+            "incarnation": self.incarnation,
+            "ready": self.is_ready(),
+            "stopping": self.state.stopping,
+            "version": self.state.table.version,
+            "running": self.state.running,
+            "instances": self.instances.count(),
+            "connections": self._pools.open_connections,
+            "members": {m.id: m.status.name.lower() for m in self._members.by_id.values()},
+            "source": self._source.status(),
+        }
+
+    def _apply(self, table: RouteTable) -> None:
+        before = self.state.table
+        self.state.table = table
+        limits = table.limits
+        self._http.bounds = HttpBounds(
+            limits.max_body_bytes, limits.head_timeout, limits.idle_timeout, limits.max_head_bytes
+        )
+        self._budgets.forget_but(table.services() | before.services())
+        logger.bind(version=table.version, before=before.version).info("desired state in force")
+        signals.routes_applied.send(table)
+
+    def _forget(self, replica_ids: set[ReplicaId]) -> None:
+        self._replicas.forget(replica_ids)
+        self._pools.forget(replica_ids)
+
+    async def _serve_peer(self, value: Any) -> Any:
+        match value:
+            case Ping():
+                return self._spreader.serve_ping(value)
+            case PingFor():
+                return await self._members.serve_ping_for(value)
+            case Pull():
+                return self._spreader.serve_pull(value)
+        return Done(True)
+
+
+class _Refused:
+    finished = True
+
+    def cancel(self) -> None:
+        return
+
+
+def _refuse_sub_request(sub: Any, deliver: Any) -> _Refused:
+    deliver(PeerFailure(False, "sub-requests go straight to instances"))
+    return _Refused()
--- /dev/null
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -0,0 +1,255 @@
+"""Gather the replies of one routed request over the services that its route names."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from firtrestle.answers import Answer, Parts, merge
+from firtrestle.attempts import Attempt, ShardState
+from firtrestle.clocks import Clock, Millis
+from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.gathers import Gather
+from firtrestle.hedgers import Hedger, Progress
+from firtrestle.instance_pools import InstancePools, PartCall, connection_share
+from firtrestle.instances import Instances
+from firtrestle.outcomes import SubOutcome
+from firtrestle.part_replies import CallerMessage, PartReply
+from firtrestle.peers import Cancellable
+from firtrestle.repeat_budgets import RepeatBudgets
+from firtrestle.replica_choosers import ReplicaChooser
+from firtrestle.replicas import Replicas
+from firtrestle.routes import Route, RouteTable
+from firtrestle.snapshots import ReplicaId
+
+ANSWER_RESERVE = Millis(6)  # of the latency target: merging, sending and the way to the caller
+MAX_UNREACHED = 6  # instances that took nothing, after which a shard is given up
+FIRST_HEDGE_SHARE = 0.3  # of the latency target, before replies of the route are known
+EARLIEST_HEDGE_SHARE = 0.15  # of the latency target: noise lies below it
+LATEST_HEDGE_SHARE = 0.5  # of the latency target: a later hedge comes too late
+NOT_RUN = frozenset({SubOutcome.SHED, SubOutcome.DRAINING, SubOutcome.UNREACHABLE})
+
+
+@dataclass(slots=True)
+class ServiceTools:
+    """Hold what all service gathers of a daemon share."""
+
+    clock: Clock
+    rng: random.Random
+    replicas: Replicas
+    chooser: ReplicaChooser
+    hedger: Hedger
+    instances: Instances
+    pools: InstancePools
+    budgets: RepeatBudgets
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """Hold one caller's request with the route and table version that it started with."""
+
+    message: CallerMessage
+    route: Route
+    table: RouteTable
+    arrived_at: Millis
+    give_up_at: Millis
+
+    @property
+    def answer_by(self) -> Millis:
+        """Return when an answer earns its full worth at the latest."""
+        return Millis(self.arrived_at + self.route.latency_target - ANSWER_RESERVE)
+
+
+@dataclass(slots=True)
+class _Record:
+    """Hold what became of a request's attempts."""
+
+    sent: int = 0
+    hedges: int = 0
+    may_have_run: bool = False
+    reason_by_service: dict[str, SubOutcome] = field(default_factory=dict)
+    last_failure: PartReply | None = None
+
+
+class ServiceGather(Gather):
+    """Run one request over its services."""
+
+    def __init__(
+        self, tools: ServiceTools, request: RoutedRequest, services: tuple[str, ...]
+    ) -> None:
+        super().__init__(tools)
+        self._tools: ServiceTools = tools
+        self._request = request
+        self._route = request.route
+        self._services = services
+        self._parts = Parts(services)
+        self._numbers = itertools.count(1)
+        self._latencies: list[Millis] = []
+        self.record = _Record()
+
+    async def run(self) -> Answer | Refused:
+        """Return the answer, or a refusal that says whether the request may have run."""
+        for service in self._services:
+            self._tools.budgets.of(service).earn()
+        await self._gather(range(len(self._services)))
+        self._tools.hedger.learn(self._route.name, self._latencies)
+        for shard, state in list(self._open_by_shard.items()):
+            reason = SubOutcome.DEADLINE if state.attempts else state.last_failure
+            self._miss(shard, reason)
+        if self._parts.reply_by_service and self._has_least_coverage():
+            return merge(self._route.merge, self._parts)
+        return self._passed_failure() or self._refusal()
+
+    def _passed_failure(self) -> Answer | None:
+        """Return the failure of a single instance as its own answer."""
+        failure = self.record.last_failure
+        if len(self._services) > 1 or failure is None:
+            return None
+        return Answer(failure.status, failure.body, (failure.stamp,), headers=failure.headers)
+
+    def _refusal(self) -> Refused:
+        ran = Ran.UNKNOWN if self.record.may_have_run else Ran.FALSE
+        reasons = sorted({str(reason) for reason in self.record.reason_by_service.values()})
+        detail = ", ".join(reasons)
+        if self._tools.clock.now() >= self._request.give_up_at:
+            kind = ErrorKind.DEADLINE_PASSED
+        elif ran is Ran.UNKNOWN:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+        elif SubOutcome.SHED in reasons:
+            kind = ErrorKind.OVERLOADED
+        else:
+            kind = ErrorKind.NO_TARGET
+        return Refused(kind, ran, detail)
+
+    def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
+        held = self._tools.instances.serving(self._services[shard])
+        return [instance.replica_id for instance in held]
+
+    def _next_number(self) -> int:
+        return next(self._numbers)
+
+    def _start(self, attempt: Attempt) -> Cancellable:
+        self.record.sent += 1
+        call = PartCall(
+            self._request.message,
+            self._request.give_up_at,
+            self._delivery(attempt),
+            fresh=not self._route.repeatable,
+        )
+        instance = self._tools.instances.get(attempt.replica.id)
+        if instance is None:
+            call.finish(PartReply(SubOutcome.UNREACHABLE, reason="the instance is gone"))
+            return call
+        terms = self._request.table.terms_by_service.get(instance.service)
+        limit = terms.connection_limit if terms is not None else 0
+        share = connection_share(limit, self._tools.budgets.fleet_size)
+        return self._tools.pools.start(instance, call, share)
+
+    def _checked_outcome(self, attempt: Attempt, reply: PartReply) -> SubOutcome:
+        if reply.may_have_run:
+            self.record.may_have_run = True
+        return reply.outcome
+
+    def _accept(
+        self, state: ShardState, attempt: Attempt, reply: PartReply, latency: Millis
+    ) -> None:
+        """Take a service's reply, and stop its other attempts."""
+        now = self._tools.clock.now()
+        for loser in state.attempts:
+            lost = Millis(now - loser.sent_at)
+            loser.replica.note_slow(lost, now)
+            self._latencies.append(lost)
+            loser.cancel()
+        self._latencies.append(latency)
+        self._parts.reply_by_service[self._services[state.number]] = reply
+
+    def _fail(
+        self, state: ShardState, attempt: Attempt, reply: PartReply, outcome: SubOutcome
+    ) -> None:
+        service = self._services[state.number]
+        logger.bind(
+            request_id=self._request.message.request_id,
+            service=service,
+            instance=attempt.replica.id.target_id,
+            outcome=str(outcome),
+            reached=reply.reached,
+            reason=reply.reason,
+            after_ms=round(self._tools.clock.now() - attempt.sent_at),
+        ).info("attempt failed")
+        state.last_failure = outcome
+        if not reply.reached:
+            state.unreached += 1
+        if reply.stamp and outcome is SubOutcome.REFUSED:
+            self.record.last_failure = reply
+        if state.attempts:
+            return
+        if not (self._may_try_again(state, reply) and self._send_next(state.number)):
+            self._miss(state.number, outcome)
+
+    def _may_try_again(self, state: ShardState, reply: PartReply) -> bool:
+        """Say whether another instance may get the request, and pay for it."""
+        if reply.may_have_run and not self._route.repeatable:
+            return False
+        if not self._has_attempt_left(state):
+            return False
+        if not reply.reached:
+            return state.unreached < MAX_UNREACHED
+        return self._has_replica_left(state) and self._pay(state)
+
+    def _has_attempt_left(self, state: ShardState) -> bool:
+        return state.tries - state.unreached < self._route.max_attempts
+
+    def _has_replica_left(self, state: ShardState) -> bool:
+        return any(one not in state.tried for one in self._replica_ids(state.number))
+
+    def _pay(self, state: ShardState, hedge: bool = False) -> bool:
+        budgets = self._tools.budgets
+        return budgets.of(self._services[state.number]).spend(budgets.slack, hedge)
+
+    def _note_miss(self, shard: int, reason: SubOutcome) -> None:
+        self.record.reason_by_service[self._services[shard]] = reason
+
+    def _is_over(self) -> bool:
+        """Say whether the least coverage can't be reached any more."""
+        lost = len(self.record.reason_by_service)
+        return not self._covers_enough(len(self._services) - lost)
+
+    def _has_least_coverage(self) -> bool:
+        return self._covers_enough(len(self._parts.reply_by_service))
+
+    def _covers_enough(self, parts: int) -> bool:
+        return parts > 0 and parts / len(self._services) >= self._route.least_coverage
+
+    def _stop_at(self) -> Millis:
+        if self._has_least_coverage():
+            return min(self._request.give_up_at, self._request.answer_by)
+        return self._request.give_up_at
+
+    def _hedge_delay(self) -> Millis | None:
+        if not self._route.repeatable or self._route.max_attempts < 2:
+            return None
+        target = self._route.latency_target
+        delay = self._tools.hedger.delay(
+            Progress(self._route.name, len(self._services), len(self._latencies), Millis(0))
+        )
+        if delay is None:
+            return Millis(target * FIRST_HEDGE_SHARE)
+        return Millis(min(max(delay, target * EARLIEST_HEDGE_SHARE), target * LATEST_HEDGE_SHARE))
+
+    def _hedgeable(self) -> list[ShardState]:
+        return [
+            state
+            for state in self._open_by_shard.values()
+            if state.attempts and self._has_attempt_left(state) and self._has_replica_left(state)
+        ]
+
+    def _hedge(self, state: ShardState, delay: Millis) -> bool:
+        if not self._pay(state, hedge=True):
+            return False
+        state.hedges += 1
+        self.record.hedges += 1
+        return self._send_next(state.number)
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
 from firtrestle.yaml_documents import Fault, check_document
 
@@ -21,14 +22,22 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
+def _port_of(value: Any) -> Any:
+    """Take the port of "IP:port"."""
+    return value.rpartition(":")[2] if isinstance(value, str) else value
+
+
+Port = Annotated[int, BeforeValidator(_port_of)]
+
+
 class DaemonSettings(_Section):
     """Say who the daemon is and where it listens."""
 
     id: str = Field(min_length=1, description="VM name, unique in the fleet")
     data_centre: str = Field(min_length=1, description="data centre the VM stands in")
     address: str = Field("127.0.0.1", description="IP number to listen on")
-    port: int = Field(8080, ge=1, le=65535, description="port for callers and operators")
-    peer_port: int = Field(8081, ge=1, le=65535, description="port for other daemons")
+    port: Port = Field(8080, ge=1, le=65535, description="port for callers and operators")
+    peer_port: Port = Field(8081, ge=1, le=65535, description="port for other daemons")
     advertised_peer_port: int = Field(
         0, ge=0, le=65535, description="port that others reach peer_port by, 0 for the same"
     )
@@ -38,7 +47,7 @@
     """Say where the platform's services are and how to read them."""
 
     configuration_service: str = Field(description="IP:port of the configuration service")
-    vm_list: str = Field(description="IP:port of the list of VMs")
+    vm_list: str = Field("", description="IP:port of the list of VMs; unused with a route source")
     watch_ms: int = Field(60_000, ge=100, description="length of one watch, ms")
     retry_ms: int = Field(5_000, ge=10, description="mean pause after a failed read, ms")
     list_lag_ms: int = Field(5_000, ge=0, description="longest time until a new VM is listed, ms")
@@ -89,6 +98,27 @@
     call_timeout_ms: int = Field(1_000, ge=1, description="time for a peer to answer a call, ms")
 
 
+class RouteSettings(_Section):
+    """Say how routes over services are served, instead of a catalogue's collections."""
+
+    source: str = Field("", description="registered source of routes and instances, empty for none")
+    ready_port: Port = Field(8082, ge=1, le=65535, description="port of readiness and metrics")
+    seeds: list[str] = Field([], description="IP:port of some peers to meet first")
+    repeat_ratio: float = Field(
+        0.2, ge=0, le=1, description="repeats of a service's requests, as a part of them"
+    )
+    repeat_slack: float = Field(
+        50.0, ge=0, description="repeats of a service's requests beyond that part, a window"
+    )
+    repeat_window_ms: int = Field(10_000, ge=100, description="window of both, ms")
+    least_fleet_size: int = Field(
+        16, ge=1, description="daemons among which the slack is divided at least"
+    )
+    watch_ms: int = Field(5_000, ge=100, description="length of one watch of the source, ms")
+    retry_ms: int = Field(400, ge=10, description="mean pause after a failed read, ms")
+    stop_ms: int = Field(5_500, ge=100, description="longest time to finish after SIGTERM, ms")
+
+
 class ClaimSettings(_Section):
     """Say how keys of requests that may not be repeated are held."""
 
@@ -129,6 +159,7 @@
     targets: TargetSettings = TargetSettings()
     peers: PeerSettings = PeerSettings()
     claims: ClaimSettings = ClaimSettings()
+    routes: RouteSettings = RouteSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     logs: LogSettings = LogSettings()
     events: EventSettings = EventSettings()
