--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -31,7 +31,6 @@
 FIRST_HEDGE_SHARE = 0.3  # of the latency target, before replies of the route are known
 EARLIEST_HEDGE_SHARE = 0.15  # of the latency target: noise lies below it
 LATEST_HEDGE_SHARE = 0.5  # of the latency target: a later hedge comes too late
-NOT_RUN = frozenset({SubOutcome.SHED, SubOutcome.DRAINING, SubOutcome.UNREACHABLE})
 
 
 @dataclass(slots=True)
@@ -70,10 +69,15 @@
 
     sent: int = 0
     hedges: int = 0
-    may_have_run: bool = False
+    not_run: int = 0  # attempts that certainly did not run
     reason_by_service: dict[str, SubOutcome] = field(default_factory=dict)
     last_failure: PartReply | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Say whether some attempt ran or can't be told not to have; one in flight can't."""
+        return self.sent > self.not_run
+
 
 class ServiceGather(Gather):
     """Run one request over its services."""
@@ -150,8 +154,8 @@
         return self._tools.pools.start(instance, call, share)
 
     def _checked_outcome(self, attempt: Attempt, reply: PartReply) -> SubOutcome:
-        if reply.may_have_run:
-            self.record.may_have_run = True
+        if not reply.may_have_run:
+            self.record.not_run += 1
         return reply.outcome
 
     def _accept(
