--- /dev/null
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -0,0 +1,165 @@
+"""Stand in for instances, their pools and a route table, on simulated time."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.instance_pools import PartCall
+from firtrestle.instances import Instance, Instances
+from firtrestle.outcomes import SubOutcome
+from firtrestle.part_replies import CallerMessage, PartReply
+from firtrestle.plugins.hedgers import EagerHedger
+from firtrestle.plugins.replica_choosers import AgedLeastInFlight
+from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
+from firtrestle.replicas import Replicas
+from firtrestle.routes import Route, RouteTable, ServiceTerms, TopRecords, WeightedService
+from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
+from firtrestle.settings import TargetSettings
+from trio.testing import MockClock
+
+Behave = Callable[[Instance, int], tuple[float, PartReply]]
+TERMS = RepeatTerms(0.2, 58.0, Millis(10_000))
+
+
+def record(text: str) -> bytes:
+    return text.encode().ljust(16, b".")
+
+
+def good(instance: Instance, *records: str) -> PartReply:
+    body = b"".join(record(one) for one in records or (instance.service,))
+    return PartReply(
+        SubOutcome.OK, 200, f"stamp-{instance.id}", (), body, reached=True, may_have_run=True
+    )
+
+
+def shed() -> PartReply:
+    return PartReply(SubOutcome.SHED, 503, reached=True)
+
+
+def misdirected() -> PartReply:
+    return PartReply(SubOutcome.MISDIRECTED, 421, reached=True)
+
+
+def lost() -> PartReply:
+    return PartReply(SubOutcome.DIED, reached=True, may_have_run=True)
+
+
+def unreachable() -> PartReply:
+    return PartReply(SubOutcome.UNREACHABLE)
+
+
+def failed(instance: Instance) -> PartReply:
+    return PartReply(
+        SubOutcome.REFUSED, 500, f"stamp-{instance.id}", reached=True, may_have_run=True
+    )
+
+
+@dataclass
+class FakePools:
+    """Answer each call as told, after a delay in milliseconds; math.inf is silence."""
+
+    nursery: trio.Nursery
+    behave: Behave
+    sent: list[str] = field(default_factory=list)
+
+    def start(self, instance: Instance, call: PartCall, share: int) -> PartCall:
+        self.sent.append(instance.id)
+        self.nursery.start_soon(self._reply, instance, call, Counter(self.sent)[instance.id])
+        return call
+
+    async def _reply(self, instance: Instance, call: PartCall, nth: int) -> None:
+        with call.scope:
+            delay, reply = self.behave(instance, nth)
+            await sleep(Millis(min(delay, 3_600_000)))
+            call.finish(reply)
+
+
+@dataclass
+class RouteWorld:
+    """Hold one daemon's tools over some services with three instances each."""
+
+    tools: ServiceTools
+    pools: FakePools
+    table: RouteTable
+    numbers: int = 0
+
+    async def ask(self, route: Route, time_left: float = 1_000, services=None):
+        """Return a request's result and its gather."""
+        self.numbers += 1
+        now = self.tools.clock.now()
+        message = CallerMessage(f"r{self.numbers}", "GET", "/p/x", "h", (), b"")
+        request = RoutedRequest(message, route, self.table, now, Millis(now + time_left))
+        chosen = services or route.pick_services(self.tools.rng)
+        gather = ServiceGather(self.tools, request, chosen)
+        return await gather.run(), gather
+
+
+def scatter_route(shards: int, **changes) -> Route:
+    values = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/p/",
+        "repeatable": True,
+        "timeout": Millis(1_000),
+        "latency_target": Millis(150),
+        "max_attempts": 2,
+        "shards": tuple(f"s{number}" for number in range(shards)),
+        "merge": TopRecords(50),
+        "least_coverage": 0.8,
+    }
+    return Route(**{**values, **changes})
+
+
+def plain_route(**changes) -> Route:
+    values = {
+        "name": "p",
+        "host": "h",
+        "prefix": "/p/",
+        "repeatable": False,
+        "timeout": Millis(1_000),
+        "latency_target": Millis(500),
+        "max_attempts": 3,
+        "choices": (WeightedService("s0", 1.0),),
+    }
+    return Route(**{**values, **changes})
+
+
+def run_world(
+    behave: Behave,
+    body: Callable[[RouteWorld], Awaitable[None]],
+    services: int = 10,
+    replicas: int = 3,
+) -> None:
+    """Run a test's body on a clock of its own."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            clock = Clock()
+            rng = random.Random(1)
+            pools = FakePools(nursery, behave)
+            records = Replicas(clock)
+            instances = Instances(clock, records.forget)
+            for service in range(services):
+                for copy in range(replicas):
+                    name = f"s{service}"
+                    one = Instance(f"{name}-{copy}", name, "h", 1, "dc", 3, False, 1)
+                    instances.put(one, 1)
+            budgets = RepeatBudgets(TERMS, clock, Millis(clock.now() - 10_000))
+            budgets.fleet_size = 1
+            chooser = AgedLeastInFlight(TargetSettings(slow_start_ms=0), clock, rng)
+            tools = ServiceTools(
+                clock, rng, records, chooser, EagerHedger(clock), instances, pools, budgets
+            )
+            names = [f"s{number}" for number in range(services)]
+            table = RouteTable.from_routes(
+                1, [], {one: ServiceTerms(one, 31) for one in names}, RouteTable().limits
+            )
+            await body(RouteWorld(tools, pools, table))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
--- /dev/null
+++ b/packages/firtrestle/tests/test_instances.py
@@ -0,0 +1,83 @@
+from firtrestle.clocks import Clock, Millis
+from firtrestle.instances import LAPSE_GRACE, Instance, Instances
+
+
+class HandClock(Clock):
+    def __init__(self) -> None:
+        self.at = 0.0
+
+    def now(self) -> Millis:
+        return Millis(self.at)
+
+
+def build():
+    forgotten = set()
+    clock = HandClock()
+    return Instances(clock, forgotten.update), clock, forgotten
+
+
+def instance(name="a", draining=False, born=1):
+    return Instance(name, "s", "h", 1, "dc", 3, draining, born)
+
+
+def test_the_highest_revision_of_an_instance_wins():
+    instances, _, _ = build()
+    assert instances.put(instance(draining=True), 5)
+    assert not instances.put(instance(), 4)
+    assert instances.serving("s") == ()
+
+
+def test_a_removal_that_is_older_than_the_registration_changes_nothing():
+    instances, _, _ = build()
+    instances.put(instance(), 5)
+    assert not instances.remove("a", 4)
+    assert instances.serving("s") == (instance(),)
+    assert instances.remove("a", 6)
+    assert instances.serving("s") == ()
+
+
+def test_a_restart_under_the_same_id_starts_from_nothing():
+    instances, _, forgotten = build()
+    instances.put(instance(born=1), 5)
+    instances.put(instance(born=2), 6)
+    assert forgotten == {instance(born=1).replica_id}
+    assert instances.get(instance(born=1).replica_id) is None
+    assert instances.get(instance(born=2).replica_id) == instance(born=2)
+
+
+def test_entries_that_lapse_while_the_registry_is_down_stay_until_a_while_after_its_return():
+    instances, clock, _ = build()
+    instances.put(instance("a"), 5)
+    instances.put(instance("b"), 6)
+    instances.note_registry(False)
+    instances.remove("a", 7)
+    instances.remove("b", 8)
+    assert len(instances.serving("s")) == 2
+    clock.at += 60_000
+    instances.expire()
+    assert len(instances.serving("s")) == 2
+    instances.note_registry(True)
+    clock.at += LAPSE_GRACE / 2
+    instances.put(instance("a"), 9)
+    instances.expire()
+    assert len(instances.serving("s")) == 2
+    clock.at += LAPSE_GRACE
+    instances.expire()
+    assert instances.serving("s") == (instance("a"),)
+
+
+def test_an_instance_that_was_draining_does_not_outlive_its_entry():
+    instances, _, _ = build()
+    instances.put(instance(draining=True), 5)
+    instances.note_registry(False)
+    instances.remove("a", 6)
+    assert instances.count() == 0
+
+
+def test_a_barred_instance_serves_again_once_its_registration_changes():
+    instances, _, _ = build()
+    instances.put(instance(), 5)
+    instances.bar(instance().replica_id)
+    assert instances.serving("s") == ()
+    instances.put(instance(), 6)
+    assert instances.serving("s") == (instance(),)
--- /dev/null
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -0,0 +1,186 @@
+import math
+
+from firtrestle.answers import Answer
+from firtrestle.clocks import Millis, sleep
+from firtrestle.errors import ErrorKind, Ran, Refused
+from route_fakes import (
+    failed,
+    good,
+    lost,
+    misdirected,
+    plain_route,
+    record,
+    run_world,
+    scatter_route,
+    shed,
+    unreachable,
+)
+
+
+def test_an_answer_holds_the_greatest_records_of_all_shards_with_their_stamps():
+    async def body(world):
+        answer, _ = await world.ask(scatter_route(3))
+        assert isinstance(answer, Answer)
+        assert answer.body == record("s2") + record("s1") + record("s0")
+        assert len(answer.stamps) == 3
+        assert answer.missing == 0
+
+    run_world(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_remainder_shorter_than_a_record_is_no_record():
+    async def body(world):
+        answer, _ = await world.ask(scatter_route(1))
+        assert answer.body == record("s0")
+
+    def behave(instance, nth):
+        reply = good(instance)
+        reply.body += b"short"
+        return 5, reply
+
+    run_world(behave, body)
+
+
+def test_a_request_that_may_not_be_repeated_is_not_sent_again_after_a_lost_reply():
+    async def body(world):
+        refused, _ = await world.ask(plain_route())
+        assert isinstance(refused, Refused)
+        assert refused.ran is Ran.UNKNOWN
+        assert len(world.pools.sent) == 1
+
+    run_world(lambda instance, nth: (5, lost()), body)
+
+
+def test_a_request_that_may_not_be_repeated_is_sent_again_after_proof_that_it_did_not_run():
+    for reply in (shed, misdirected, unreachable):
+
+        def behave(instance, nth, reply=reply):
+            return (5, good(instance)) if instance.id == "s0-2" else (5, reply())
+
+        async def body(world):
+            for _ in range(4):
+                answer, _ = await world.ask(plain_route())
+                assert isinstance(answer, Answer)
+
+        run_world(behave, body)
+
+
+def test_a_request_that_all_instances_shed_is_refused_as_not_run():
+    async def body(world):
+        refused, _ = await world.ask(plain_route(max_attempts=2))
+        assert (refused.kind, refused.ran) == (ErrorKind.OVERLOADED, Ran.FALSE)
+        assert len(world.pools.sent) == 2
+
+    run_world(lambda instance, nth: (5, shed()), body)
+
+
+def test_a_failing_instances_own_answer_goes_back_unchanged():
+    async def body(world):
+        answer, _ = await world.ask(plain_route())
+        assert (answer.status, answer.stamps) == (500, (f"stamp-{world.pools.sent[0]}",))
+
+    run_world(lambda instance, nth: (5, failed(instance)), body)
+
+
+def test_a_refusal_with_an_attempt_in_flight_does_not_say_not_run():
+    async def body(world):
+        refused, _ = await world.ask(plain_route(), time_left=100)
+        assert (refused.kind, refused.ran) == (ErrorKind.DEADLINE_PASSED, Ran.UNKNOWN)
+
+    run_world(lambda instance, nth: (math.inf, good(instance)), body)
+
+
+def test_a_nearly_whole_answer_leaves_at_the_latency_target():
+    """One shard of ten is silent on all replicas."""
+
+    def behave(instance, nth):
+        return (math.inf if instance.service == "s0" else 5), good(instance)
+
+    async def body(world):
+        before = world.tools.clock.now()
+        answer, _ = await world.ask(scatter_route(10))
+        assert answer.missing == 1
+        assert world.tools.clock.now() - before <= 150
+
+    run_world(behave, body)
+
+
+def test_what_can_not_reach_its_least_coverage_is_refused_at_once():
+    """Three shards of ten refuse all connections, where eight are needed."""
+
+    def behave(instance, nth):
+        down = instance.service in ("s0", "s1", "s2")
+        return (1, unreachable()) if down else (100, good(instance))
+
+    async def body(world):
+        before = world.tools.clock.now()
+        refused, _ = await world.ask(scatter_route(10))
+        assert isinstance(refused, Refused)
+        assert world.tools.clock.now() - before < 50
+
+    run_world(behave, body)
+
+
+def test_no_shard_is_sent_to_more_instances_than_its_route_allows():
+    async def body(world):
+        for _ in range(20):
+            world.pools.sent.clear()
+            await world.ask(scatter_route(5))
+            for shard in range(5):
+                assert sum(1 for one in world.pools.sent if one.startswith(f"s{shard}-")) <= 2
+
+    run_world(lambda instance, nth: (5, lost()), body, services=5)
+
+
+def test_silent_replicas_are_passed_over_after_two_lost_races():
+    """A sixth of the replicas fall silent without a reset: the pattern of a dark crash."""
+
+    def behave(instance, nth):
+        silent = instance.id in ("s0-0", "s3-1", "s5-2", "s7-0", "s9-1")
+        return (math.inf if silent else 20), good(instance)
+
+    async def body(world):
+        for _ in range(40):
+            await world.ask(scatter_route(10))
+            await sleep(Millis(20))
+        world.pools.sent.clear()
+        for _ in range(10):
+            await world.ask(scatter_route(10))
+            await sleep(Millis(20))
+        silent = sum(1 for one in world.pools.sent if one in ("s0-0", "s3-1", "s5-2"))
+        assert silent <= 3
+
+    run_world(behave, body)
+
+
+def test_an_address_that_went_to_another_service_gets_one_request_of_a_daemon():
+    """Addresses of ended instances are reused: each further request is a repeat elsewhere."""
+
+    def behave(instance, nth):
+        return 5, (misdirected() if instance.id == "s0-0" else good(instance))
+
+    async def body(world):
+        for _ in range(50):
+            await world.ask(scatter_route(1))
+        assert world.pools.sent.count("s0-0") <= 1
+
+    run_world(behave, body, services=1)
+
+
+def test_slow_replicas_of_many_shards_do_not_put_hedges_off():
+    """Fifteen in a hundred replicas are seven times as slow: the pattern of srv_slow across."""
+
+    def behave(instance, nth):
+        slow = instance.id in ("s0-0", "s1-0", "s2-0", "s3-0", "s4-0")
+        return (150 if slow else 20), good(instance)
+
+    async def body(world):
+        late = 0
+        for number in range(200):
+            before = world.tools.clock.now()
+            await world.ask(scatter_route(10))
+            late += number >= 50 and world.tools.clock.now() - before > 70
+            await sleep(Millis(50))
+        assert late <= 5
+
+    run_world(behave, body)
