--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -9,6 +9,7 @@
 from firtrestle.snapshots import ReplicaId
 
 LATENCY_WEIGHT = 0.2  # of the newest latency in the moving mean
+SUCCESS_WEIGHT = 0.15  # of the newest outcome in the moving share of successes
 CLEAN_RUN = 16  # answers in a row, after which earlier ejections are forgotten
 HINT_LIFE = Millis(40)
 LOSSES_TO_EJECT = 2  # a pause of a healthy instance seldom meets two requests of one daemon
@@ -35,13 +36,17 @@
     ejected_until: Millis = Millis(0)
     ejections: int = 0
     clean_run: int = 0
+    far: bool = False  # in another data centre than this daemon
+    success: float = 1.0  # moving share of requests that were answered, sheds counted as failures
     losses: int = 0  # in a row, to replicas asked later
 
     def note(self, outcome: SubOutcome, latency: Millis, queue: int, now: Millis) -> None:
         """Take in how one sub-request ended."""
         self.queue_hint = queue
         self.hinted_at = self.noted_at = now
-        if outcome is SubOutcome.OK:
+        answered = outcome is SubOutcome.OK
+        self.success += SUCCESS_WEIGHT * (answered - self.success)
+        if answered:
             self._take_latency(latency)
             self._take_clean()
         elif outcome in FAILURES:
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -88,6 +88,7 @@
             instances=self.instances,
             pools=self._pools,
             budgets=self._budgets,
+            data_centre=settings.daemon.data_centre,
         )
         self.state = RouteState(RouteTable())
         self._news = news = News(self.items, self.instances, clock, self._apply)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -45,6 +45,7 @@
     instances: Instances
     pools: InstancePools
     budgets: RepeatBudgets
+    data_centre: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +132,9 @@
 
     def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
         held = self._tools.instances.serving(self._services[shard])
+        for instance in held:
+            record = self._tools.replicas.get(instance.replica_id)
+            record.far = instance.data_centre != self._tools.data_centre
         return [instance.replica_id for instance in held]
 
     def _next_number(self) -> int:
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -114,7 +114,7 @@
     least_fleet_size: int = Field(
         16, ge=1, description="daemons among which the slack is divided at least"
     )
-    watch_ms: int = Field(5_000, ge=100, description="length of one watch of the source, ms")
+    watch_ms: int = Field(10_000, ge=100, description="length of one watch of the source, ms")
     retry_ms: int = Field(400, ge=10, description="mean pause after a failed read, ms")
     stop_ms: int = Field(5_500, ge=100, description="longest time to finish after SIGTERM, ms")
 
@@ -141,6 +141,9 @@
 
     level: str = Field("INFO", pattern="^(TRACE|DEBUG|INFO|WARNING|ERROR)$", description="least")
     json_lines: bool = Field(False, description="one JSON object a line instead of text")
+    lines_per_second: int = Field(
+        200, ge=1, description="lines below WARNING a second; what is over is dropped and counted"
+    )
 
 
 class EventSettings(_Section):
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -153,7 +153,7 @@
             budgets.fleet_size = 1
             chooser = AgedLeastInFlight(TargetSettings(slow_start_ms=0), clock, rng)
             tools = ServiceTools(
-                clock, rng, records, chooser, EagerHedger(clock), instances, pools, budgets
+                clock, rng, records, chooser, EagerHedger(clock), instances, pools, budgets, "dc"
             )
             names = [f"s{number}" for number in range(services)]
             table = RouteTable.from_routes(
