Learn from attempts that were cut off, and bound what waits at one instance

Ruled out: a second shard without replicas (its one live replica took all requests). Change: a daemon has few requests in flight at an instance that was overdue (halved, then one more a round); silent replicas are ejected also when no hedge won; refusals say when to come back, with a spread. New tests were red before (silent shard; one slow replica: 40 of 200 answered, 50 possible).

--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -16,7 +16,7 @@
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
 from firtrestle.replica_choosers import ReplicaChooser
-from firtrestle.replicas import Replicas
+from firtrestle.replicas import Replica, Replicas
 from firtrestle.snapshots import ReplicaId
 
 MAX_HEDGES = 2  # of a shard; the second may go to a replica again
@@ -133,9 +133,8 @@
         ids = self._replica_ids(shard)
         untried = [one for one in ids if one not in state.tried] or (ids if repeat else [])
         other_targets = self._elsewhere(state, untried)
-        replica = self._tools.chooser.choose(
-            [self._tools.replicas.get(one) for one in other_targets or untried]
-        )
+        records = [self._tools.replicas.get(one) for one in other_targets or untried]
+        replica = self._tools.chooser.choose([one for one in records if self._has_room(one)])
         if replica is None:
             return False
         state.tries += 1
@@ -146,6 +145,10 @@
         attempt.call = self._start(attempt)
         return True
 
+    def _has_room(self, replica: Replica) -> bool:
+        """Say whether a replica may get one more sub-request."""
+        return True
+
     def _deliver(self, attempt: Attempt, reply: Any) -> None:
         attempt.uncount()
         self._send.send_nowait((attempt, reply))
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -12,6 +12,8 @@
 SUCCESS_WEIGHT = 0.15  # of the newest outcome in the moving share of successes
 CLEAN_RUN = 16  # answers in a row, after which earlier ejections are forgotten
 HINT_LIFE = Millis(40)
+MOST_ROOM = 16.0  # more than the slots and queue that a daemon's part of an instance comes to
+LEAST_ROOM = 1.0  # so that a recovery is noticed
 LOSSES_TO_EJECT = 2  # a pause of a healthy instance seldom meets two requests of one daemon
 FIRST_EJECTION = Millis(500)
 LONGEST_EJECTION = Millis(10_000)
@@ -38,6 +40,7 @@
     clean_run: int = 0
     far: bool = False  # in another data centre than this daemon
     success: float = 1.0  # moving share of requests that were answered, sheds counted as failures
+    room: float = MOST_ROOM  # requests that may be in flight there from this daemon
     losses: int = 0  # in a row, to replicas asked later
 
     def note(self, outcome: SubOutcome, latency: Millis, queue: int, now: Millis) -> None:
@@ -47,6 +50,7 @@
         answered = outcome is SubOutcome.OK
         self.success += SUCCESS_WEIGHT * (answered - self.success)
         if answered:
+            self.room = min(MOST_ROOM, self.room + 1.0 / self.room)
             self._take_latency(latency)
             self._take_clean()
         elif outcome in FAILURES:
@@ -74,6 +78,15 @@
         self._eject(now)
         return True
 
+    def note_overdue(self, latency: Millis, now: Millis) -> None:
+        """Take in that no reply came in time: its queue is longer than callers can wait."""
+        self.room = max(LEAST_ROOM, self.room / 2)
+        self.note_lost(latency, now)
+
+    def has_room(self) -> bool:
+        """Say whether one more request is likely to be answered in time."""
+        return self.in_flight < self.room
+
     def is_ejected(self, now: Millis) -> bool:
         """Say whether the replica is passed over for now."""
         return now < self.ejected_until
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import trio
@@ -19,6 +19,9 @@
 from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
 
 ANSWER_RESERVE = Millis(10)  # of a deadline: time for the answer to reach the caller
+COME_BACK = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED, ErrorKind.OUTCOME_UNKNOWN})
+COME_BACK_PAUSE = Millis(200)  # for a queue to drain; a shard that is gone takes seconds to return
+COME_BACK_SPREAD = (0.5, 1.5)  # times the pause, so that callers don't come back together
 LONGEST_PRIMING = Millis(150)  # for a starting daemon to read what it serves, in two short calls
 
 
@@ -154,6 +157,9 @@
             after_ms=round(self._clock.now() - arrived_at, 1),
         ).info("refused")
         signals.query_refused.send(route_name, refused=refused)
+        if refused.kind in COME_BACK and refused.retry_after is None:
+            pause = Millis(COME_BACK_PAUSE * self._rng.uniform(*COME_BACK_SPREAD))
+            refused = replace(refused, retry_after=pause)
         return self._codec.refuse(request_id, refused)
 
     def _note_left(self, incoming: Incoming, arrived_at: Millis) -> None:
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -22,11 +22,12 @@
 from firtrestle.peers import Cancellable
 from firtrestle.repeat_budgets import RepeatBudgets
 from firtrestle.replica_choosers import ReplicaChooser
-from firtrestle.replicas import Replicas
+from firtrestle.replicas import Replica, Replicas
 from firtrestle.routes import Route, RouteTable
 from firtrestle.snapshots import ReplicaId
 
 ANSWER_RESERVE = Millis(6)  # of the latency target: merging, sending and the way to the caller
+OVERDUE_SHARE = 0.5  # of the latency target: a reply that is later helps no answer
 MAX_UNREACHED = 6  # instances that took nothing, after which a shard is given up
 FIRST_HEDGE_SHARE = 0.3  # of the latency target, before replies of the route are known
 EARLIEST_HEDGE_SHARE = 0.15  # of the latency target: noise lies below it
@@ -103,6 +104,7 @@
         await self._gather(range(len(self._services)))
         self._tools.hedger.learn(self._route.name, self._latencies)
         for shard, state in list(self._open_by_shard.items()):
+            self._note_overdue(state)
             reason = SubOutcome.DEADLINE if state.attempts else state.last_failure
             self._miss(shard, reason)
         if self._parts.reply_by_service and self._has_least_coverage():
@@ -176,6 +178,17 @@
         self._latencies.append(latency)
         self._parts.reply_by_service[self._services[state.number]] = reply
 
+    def _has_room(self, replica: Replica) -> bool:
+        return replica.has_room()
+
+    def _note_overdue(self, state: ShardState) -> None:
+        """Learn from attempts that were cut off when the answer had to leave."""
+        now = self._tools.clock.now()
+        for attempt in state.attempts:
+            waited = Millis(now - attempt.sent_at)
+            if waited >= self._route.latency_target * OVERDUE_SHARE:
+                attempt.replica.note_overdue(waited, now)
+
     def _log_ejection(self, loser: Attempt, lost: Millis) -> None:
         logger.bind(
             request_id=self._request.message.request_id,
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -1,5 +1,6 @@
 import math
 
+import trio
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
 from firtrestle.errors import ErrorKind, Ran, Refused
@@ -184,3 +185,50 @@
         assert late <= 5
 
     run_world(behave, body)
+
+
+def test_silent_replicas_of_a_shard_are_learnt_from_answers_that_left_without_it():
+    """All replicas of one shard are dark: no hedge wins, and yet they must be passed over."""
+
+    def behave(instance, nth):
+        return (math.inf if instance.service == "s0" else 5), good(instance)
+
+    async def body(world):
+        for _ in range(4):
+            await world.ask(scatter_route(10))
+        now = world.tools.clock.now()
+        records = [one for one in world.tools.replicas.by_id.values() if "s0-" in one.id.target_id]
+        assert any(one.is_ejected(now) for one in records)
+
+    run_world(behave, body)
+
+
+def test_a_shard_left_with_one_slow_replica_answers_some_requests_instead_of_none():
+    """Two of three replicas are gone and the last is slow: a queue that outlasts every deadline."""
+    busy_until = 0.0
+
+    def behave(instance, nth):
+        nonlocal busy_until
+        if instance.service != "s0":
+            return 5, good(instance)
+        if instance.id != "s0-0":
+            return 1, unreachable()
+        now = trio.current_time() * 1_000
+        busy_until = max(now, busy_until) + 80
+        return busy_until - now, good(instance)
+
+    async def body(world):
+        results = []
+
+        async def ask():
+            answer, _ = await world.ask(scatter_route(2, least_coverage=1.0), time_left=400)
+            results.append(isinstance(answer, Answer))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(300):
+                nursery.start_soon(ask)
+                await sleep(Millis(20))
+        late = results[len(results) // 3 :]
+        assert sum(late) >= len(late) * 0.15  # of at most a quarter, the one's speed
+
+    run_world(behave, body)
