Log each attempt and hedge within half of the rate; firtrestle explain ID; metrics over routes

Cause: a complaint's request could not be followed from its id: hedges and answers weren't logged at the level in force. Change: one line an answer, hedge and failed attempt; details take at most half of the rate, so that answers and refusals are kept; the client puts the lines of many daemons in order, after what each believed before.

--- a/packages/firtrestle-client/firtrestle_client/main.py
+++ b/packages/firtrestle-client/firtrestle_client/main.py
@@ -4,6 +4,7 @@
 
 import sys
 import uuid
+from dataclasses import asdict
 from enum import IntEnum
 from pathlib import Path
 from typing import Annotated, Any
@@ -22,6 +23,7 @@
     read_catalogue,
     retirement_faults,
 )
+from firtrestle_client.explanations import explain as explain_request
 from firtrestle_client.fleets import DaemonAnswer, find_daemons, get_all
 from firtrestle_client.tables import print_json, print_table
 from firtrestle_client.timelines import TimeLine, event_lines, json_lines
@@ -63,6 +65,7 @@
     ),
 ]
 AsJson = Annotated[bool, typer.Option("--json", help="print JSON")]
+NO_FILES: list[Path] = []
 NO_DAEMONS: list[str] = []
 DEFAULT_DAEMONS = ["127.0.0.1:8080"]
 
@@ -151,6 +154,31 @@
     raise typer.Exit(ExitCode.GOOD if reply.status == 200 else ExitCode.FOUND)
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="the request's X-Request-Id")],
+    files: Annotated[
+        list[Path], typer.Argument(help="logs of the daemons; standard input if none")
+    ] = NO_FILES,
+    as_json: AsJson = False,
+) -> None:
+    """Show what the daemons' logs say of one request, and what they believed before it."""
+    try:
+        lines = [line for file in files for line in file.read_text(errors="replace").splitlines()]
+    except OSError as error:
+        typer.echo(f"cannot read a log: {error}", err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+    story = explain_request(lines if files else sys.stdin, request_id)
+    if not story:
+        typer.echo(f"no line names request {request_id}", err=True)
+        raise typer.Exit(ExitCode.FOUND)
+    if as_json:
+        print_json([asdict(one) for one in story])
+        return
+    rows = [(one.at, one.daemon, one.message, one.details) for one in story]
+    print_table(("at", "daemon", "what", "details"), rows)
+
+
 @app.command()
 def timeline(
     daemon: Daemons = DEFAULT_DAEMONS,
--- /dev/null
+++ b/packages/firtrestle-client/tests/test_explanations.py
@@ -0,0 +1,36 @@
+import json
+
+from firtrestle_client.explanations import explain
+
+
+def line(at, message, daemon="d1", **fields):
+    return json.dumps({"at": at, "message": message, "daemon": daemon, **fields})
+
+
+LINES = [
+    line("10:00:01", "desired state in force", version=7),
+    line("10:00:01", "desired state in force", daemon="d2", version=8),
+    line("10:00:05", "refused", request_id="r1", kind="no-target", ran="false"),
+    line("10:00:04", "attempt failed", request_id="r1", service="s", outcome="died"),
+    line("10:00:04", "attempt failed", request_id="r2", service="s", outcome="died"),
+    "  3.1 front-1 " + line("10:00:06", "answered", daemon="d3", request_id="r1"),
+    "not a log line",
+    '{"broken": ',
+    line("10:00:09", "store lost", reason="status 503"),
+]
+
+
+def test_a_request_is_told_in_order_with_what_its_daemons_believed_before():
+    story = explain(LINES, "r1")
+    assert [one.message for one in story] == [
+        "desired state in force",
+        "attempt failed",
+        "refused",
+        "answered",
+    ]
+    assert story[0].details == "version=7"
+    assert story[2].details == "kind=no-target, ran=false"
+
+
+def test_an_unknown_request_has_no_story():
+    assert explain(LINES, "r9") == []
--- a/packages/firtrestle/firtrestle/logs.py
+++ b/packages/firtrestle/firtrestle/logs.py
@@ -21,14 +21,15 @@
     "{name}: {message}"
 )
 ALWAYS_KEPT = 30  # loguru's number of WARNING: such lines pass the rate, not a full pipe
+DETAIL = 10  # loguru's number of DEBUG: such lines leave half of the rate to others
 MAX_WAITING_BYTES = 262_144  # of lines that a slow reader has not taken
 
 
 class LineSink:
     """Write lines without waiting; drop what is over the rate or what the reader can't take.
 
-    Lines of at least WARNING don't count against the rate. A line that says how many were dropped
-    follows as soon as one can be written again.
+    Lines of at least WARNING don't count against the rate; details get half of it. A line that
+    says how many were dropped follows as soon as one can be written again.
     """
 
     def __init__(
@@ -51,7 +52,8 @@
         """Take one line with its line end."""
         self._refill()
         if level < ALWAYS_KEPT:
-            if self._left < 1:
+            reserve = self._rate / 2 if level <= DETAIL else 0.0
+            if self._left < 1 + reserve:
                 self.dropped += 1
                 return
             self._left -= 1
--- a/packages/firtrestle/firtrestle/plugins/metrics.py
+++ b/packages/firtrestle/firtrestle/plugins/metrics.py
@@ -27,8 +27,15 @@
     SUB_REQUESTS.labels(entry_name).inc(count)
 
 
+def _on_route_answer(route_name: str, answer: Any, latency: float) -> None:
+    coverage = "partial" if answer.missing else "whole"
+    QUERIES.labels(route_name, coverage).inc()
+    QUERY_SECONDS.labels(route_name).observe(latency / MILLIS_PER_SECOND)
+
+
 def register(kernel: Kernel) -> None:
     """Hook the counters to the signals."""
     signals.query_answered.connect(_on_answer)
+    signals.request_answered.connect(_on_route_answer)
     signals.query_refused.connect(_on_refusal)
     signals.sub_requests_sent.connect(_on_sub_requests)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -11,7 +11,6 @@
 import trio
 from loguru import logger
 
-from firtrestle import signals
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
 from firtrestle.events import EventKind, EventLog
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
@@ -194,13 +193,18 @@
                     {"ready": self.is_ready()}, 200 if self.is_ready() else 503
                 )
             case "/-/metrics":
-                from firtrestle.metrics import exposition  # loaded late: see load_late_plugins
-
-                return HttpResponse(200, exposition(), METRICS_TYPE)
+                return HttpResponse(200, self._metrics(), METRICS_TYPE)
             case "/-/status":
                 return HttpResponse.from_json(self.status())
         return HttpResponse.from_json({"error": "nothing is served here"}, 404)
 
+    def _metrics(self) -> bytes:
+        from firtrestle import metrics  # not at the start: see _load_late_plugins
+
+        metrics.REVISION.set(self.state.table.version)
+        metrics.PLATFORM_READS.set(self._source.status()["calls"])
+        return metrics.exposition()
+
     def is_ready(self) -> bool:
         """Say whether callers should be sent here."""
         known = self.state.table.version > 0 and self._news.primed.is_set()
@@ -230,7 +234,6 @@
         )
         self._budgets.forget_but(table.services() | before.services())
         logger.bind(version=table.version, before=before.version).info("desired state in force")
-        signals.routes_applied.send(table)
 
     def _forget(self, replica_ids: set[ReplicaId]) -> None:
         self._replicas.forget(replica_ids)
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -135,7 +135,7 @@
             hedges=record.hedges,
             latency_ms=round(latency, 1),
             late=latency > routed.route.latency_target,
-        ).debug("answered")
+        ).info("answered")
         signals.request_answered.send(routed.route.name, answer=answer, latency=latency)
 
     def _refuse(
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -209,7 +209,7 @@
             reached=reply.reached,
             reason=reply.reason,
             after_ms=round(self._tools.clock.now() - attempt.sent_at),
-        ).info("attempt failed")
+        ).debug("attempt failed")
         state.last_failure = outcome
         if outcome is SubOutcome.MISDIRECTED:
             self._tools.instances.bar(attempt.replica.id)
@@ -282,6 +282,14 @@
     def _hedge(self, state: ShardState, delay: Millis) -> bool:
         if not self._pay(state, hedge=True):
             return False
+        budgets = self._tools.budgets
+        logger.bind(
+            request_id=self._request.message.request_id,
+            service=self._services[state.number],
+            instance=state.attempts[-1].replica.id.target_id,
+            delay_ms=round(delay, 1),
+            repeats_left=round(budgets.of(self._services[state.number]).left(budgets.slack), 1),
+        ).debug("hedged")
         state.hedges += 1
         self.record.hedges += 1
         return self._send_next(state.number)
