--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Annotated
 
+gc.disable()  # a start imports much and frees nothing; enabled again before it serves
+
 import trio
 import typer
 
@@ -50,6 +52,7 @@
         return
     configure_logs(settings.logs, settings.daemon)
     gc.freeze()
+    gc.enable()
     gc.set_threshold(COLLECTOR_THRESHOLD)
     try:
         trio.run(partial(serve, settings, kernel))
--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -16,7 +16,7 @@
 TYPICAL_LATENCY = Millis(5)
 LATENCY_HALF_LIFE = Millis(1_500)  # of what a silent replica was thought slower than the fastest
 LEAST_SUCCESS = 0.05  # so that a replica that sheds all is still comparable
-FAR_FACTOR = 1.4  # for another data centre: bytes between them are scarce, balance comes first
+FAR_FACTOR = 2.0  # for another data centre: bytes between them are scarce, balance comes first
 HINT_WEIGHT = 0.25  # of the queue that the holder reports, which is a moment old
 
 
