--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -16,6 +16,7 @@
 CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_REPLY_BYTES = 16_000_000
+BODILESS = frozenset({204, 304})  # statuses whose replies have no body
 KEEP_ALIVE_MARGIN = Millis(500)  # before a server's time-out, for a request on its way
 LONGEST_KEEP_ALIVE = Millis(60_000)  # where a server names no time-out
 MAX_BYTES_SENT_BLIND = 16_384  # fits into socket buffers, so that sending doesn't wait for reading
@@ -36,6 +37,11 @@
         except ValueError:
             return None
 
+    def is_framed(self) -> bool:
+        """Say whether the reply told its own end, instead of ending with its connection."""
+        framed = "content-length" in self.headers or "transfer-encoding" in self.headers
+        return framed or self.status in BODILESS
+
     def keep_alive(self) -> Millis:
         """Return how long the server keeps the idle connection, with a margin; long if unsaid."""
         for part in self.headers.get("keep-alive", "").split(","):
@@ -106,7 +112,8 @@
                 is_sent = True
             else:
                 reply, is_sent = await self._send_while_reading(data)
-            finished = isinstance(reply, HttpReply) and is_sent and self._start_next()
+            framed = isinstance(reply, HttpReply) and reply.is_framed()
+            finished = framed and is_sent and self._start_next()
             outcome = reply
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as errors:
             outcome = HttpFailure(sent, f"the connection broke: {_first(errors)}")
