Keep what may have lapsed for 2.5 s, whoever read it; leave a margin before the kill

Change: a removal that may be a lapse (own registry unwell or back since under 5 s, or a fifth of all at once) holds after 2.5 s, else at once. The test of lapses is replaced by one as strict: no removal can be read while the store is away, so the time now runs from the removal, which comes at its return.

--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -12,7 +12,7 @@
 import trio
 from loguru import logger
 
-from firtrestle.clocks import Millis, move_on_after
+from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.problems import problem_response
 
@@ -133,7 +133,7 @@
             return False
         try:
             with move_on_after(self._bounds.read_timeout) as scope:
-                request = await self._read_request()
+                request = await self._read_request(scope)
             if scope.cancelled_caught:
                 request = Refused(ErrorKind.TOO_SLOW)
         except h11.RemoteProtocolError as error:
@@ -166,7 +166,8 @@
         self._http.receive_data(data)
         return True
 
-    async def _read_request(self) -> HttpRequest | Refused | None:
+    async def _read_request(self, scope: trio.CancelScope) -> HttpRequest | Refused | None:
+        """Read one request; once its head is in, the body has the idle time-out."""
         head: h11.Request | None = None
         body = bytearray()
         while True:
@@ -179,6 +180,7 @@
             elif isinstance(event, h11.Request):
                 head = event
                 self._method = event.method.decode()
+                scope.deadline += self._bounds.idle_timeout / MILLIS_PER_SECOND
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._bounds.max_body_bytes:
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,7 +11,11 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.snapshots import ReplicaId
 
-LAPSE_GRACE = Millis(2_500)  # after a registry's return; live instances are back in about 2 s
+LAPSE_GRACE = Millis(2_500)  # after a removal; live instances are back 2 s after an outage's end
+OUTAGE_MEMORY = Millis(5_000)  # after a registry's return, in which removals may be lapses
+MASS_WINDOW = Millis(1_000)  # in which removals are counted as coming together
+MASS_SHARE = 0.2  # of all instances, whose removal at once shows an outage that was not noticed
+MASS_LEAST = 4  # removals, so that a small fleet's ordinary changes are not taken for an outage
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +42,7 @@
     instance: Instance
     revision: int
     barred: bool = False  # another instance answered at its address
-    lapsed: bool = False  # removed while the registry was unwell; kept for a while
+    lapsed_at: Millis | None = None  # when it was removed, if that may be a lapse
 
 
 class Instances:
@@ -49,8 +54,9 @@
         self._held_by_id: dict[str, _Held] = {}
         self._removed_revision_by_id: dict[str, int] = {}
         self._by_service: dict[str, tuple[Instance, ...]] | None = None
-        self._unwell_since: Millis | None = None
-        self._well_since: Millis | None = None
+        self._unwell = False
+        self._returned_at: Millis | None = None
+        self._removals: deque[Millis] = deque()
 
     def put(self, instance: Instance, revision: int) -> bool:
         """Take in an instance's newest registration; return whether it was news."""
@@ -79,8 +85,8 @@
         held = self._held_by_id.get(instance_id)
         if held is None:
             return True
-        if self._keeps_lapsed() and not held.instance.draining:
-            held.lapsed = True
+        if not held.instance.draining and self._may_be_lapse():
+            held.lapsed_at = self._clock.now()
             logger.bind(instance=instance_id, revision=revision).info("registration lapsed, kept")
         else:
             self._drop(instance_id, revision)
@@ -97,21 +103,15 @@
 
     def note_registry(self, well: bool) -> None:
         """Take note whether the registry answers."""
-        now = self._clock.now()
-        if not well:
-            if self._unwell_since is None:
-                self._unwell_since = now
-            self._well_since = None
-        elif self._unwell_since is not None and self._well_since is None:
-            self._well_since = now
+        if self._unwell and well:
+            self._returned_at = self._clock.now()
+        self._unwell = not well
 
     def expire(self) -> None:
-        """Drop lapsed instances once the registry has been back for long enough."""
-        if self._well_since is None or self._clock.now() - self._well_since < LAPSE_GRACE:
-            return
-        self._unwell_since = self._well_since = None
+        """Drop lapsed instances that did not come back in time."""
+        now = self._clock.now()
         for instance_id, held in list(self._held_by_id.items()):
-            if held.lapsed:
+            if held.lapsed_at is not None and now - held.lapsed_at >= LAPSE_GRACE:
                 self._drop(instance_id, self._removed_revision_by_id[instance_id])
 
     def revision_of(self, instance_id: str) -> int:
@@ -120,7 +120,7 @@
 
     def ids(self) -> set[str]:
         """Return the ids of all instances held and not lapsed."""
-        return {one for one, held in self._held_by_id.items() if not held.lapsed}
+        return {one for one, held in self._held_by_id.items() if held.lapsed_at is None}
 
     def get(self, replica_id: ReplicaId) -> Instance | None:
         """Return the instance of one start, or None when it is gone or was restarted."""
@@ -148,8 +148,19 @@
         removed = self._removed_revision_by_id.get(instance_id, 0)
         return max(removed, held.revision if held is not None else 0)
 
-    def _keeps_lapsed(self) -> bool:
-        return self._unwell_since is not None
+    def _may_be_lapse(self) -> bool:
+        """Say whether a removal may come from an outage of the registry, not from an end.
+
+        A peer may have read it, so that this daemon's own view of the registry can't tell for sure.
+        """
+        now = self._clock.now()
+        self._removals.append(now)
+        while now - self._removals[0] > MASS_WINDOW:
+            self._removals.popleft()
+        if len(self._removals) >= max(MASS_LEAST, MASS_SHARE * len(self._held_by_id)):
+            return True
+        returned = self._returned_at is not None and now - self._returned_at < OUTAGE_MEMORY
+        return self._unwell or returned
 
     def _drop(self, instance_id: str, revision: int) -> None:
         held = self._held_by_id.pop(instance_id)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -35,6 +35,7 @@
 
 HOUSEKEEPING_PAUSE = Millis(500)
 LATE_PLUGINS_PAUSE = Millis(3_000)  # so that a restarted daemon serves its first callers
+GRACE_MARGIN = Millis(500)  # of the grace, for the process to end by itself
 STOP_POLL = Millis(20)
 FLUSH_PAUSE = Millis(50)  # for the last answers to leave before the process ends
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -173,7 +174,7 @@
         self.state.stopping = True
         self._members.leave()
         self._http.close_after_answers()
-        with move_on_after(Millis(self.settings.routes.stop_ms)):
+        with move_on_after(Millis(self.settings.routes.grace_ms - GRACE_MARGIN)):
             await sleep(Millis(self.settings.front.drain_ms))
             listening.cancel()
             self._http.close_idle()
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -116,7 +116,7 @@
     )
     watch_ms: int = Field(10_000, ge=100, description="length of one watch of the source, ms")
     retry_ms: int = Field(400, ge=10, description="mean pause after a failed read, ms")
-    stop_ms: int = Field(5_500, ge=100, description="longest time to finish after SIGTERM, ms")
+    grace_ms: int = Field(6_000, ge=600, description="time from SIGTERM to SIGKILL, ms")
 
 
 class ClaimSettings(_Section):
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -50,13 +50,13 @@
     instances.put(instance("a"), 5)
     instances.put(instance("b"), 6)
     instances.note_registry(False)
-    instances.remove("a", 7)
-    instances.remove("b", 8)
-    assert len(instances.serving("s")) == 2
     clock.at += 60_000
     instances.expire()
     assert len(instances.serving("s")) == 2
     instances.note_registry(True)
+    instances.remove("a", 7)
+    instances.remove("b", 8)
+    assert len(instances.serving("s")) == 2
     clock.at += LAPSE_GRACE / 2
     instances.put(instance("a"), 9)
     instances.expire()
@@ -66,6 +66,36 @@
     assert instances.serving("s") == (instance("a"),)
 
 
+def test_a_removal_told_by_a_peer_holds_soon_for_a_daemon_that_the_registry_turns_away():
+    instances, clock, _ = build()
+    instances.put(instance("a"), 5)
+    instances.note_registry(False)
+    instances.remove("a", 7)
+    clock.at += LAPSE_GRACE
+    instances.expire()
+    assert instances.serving("s") == ()
+
+
+def test_a_large_share_removed_at_once_is_kept_for_a_while_though_no_outage_was_seen():
+    instances, clock, _ = build()
+    for number in range(20):
+        instances.put(instance(f"i{number}"), number + 1)
+    for number in range(20):
+        instances.remove(f"i{number}", 100 + number)
+    assert len(instances.serving("s")) >= 16
+    clock.at += LAPSE_GRACE
+    instances.expire()
+    assert instances.serving("s") == ()
+
+
+def test_one_removal_on_a_quiet_day_holds_at_once():
+    instances, _, _ = build()
+    for number in range(20):
+        instances.put(instance(f"i{number}"), number + 1)
+    instances.remove("i3", 100)
+    assert len(instances.serving("s")) == 19
+
+
 def test_an_instance_that_was_draining_does_not_outlive_its_entry():
     instances, _, _ = build()
     instances.put(instance(draining=True), 5)
