--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -131,6 +131,7 @@
             version=routed.table.version,
             status=answer.status,
             missing=answer.missing,
+            left_out={name: str(reason) for name, reason in record.reason_by_service.items()},
             sent=record.sent,
             hedges=record.hedges,
             latency_ms=round(latency, 1),
