Notice a silent watch within the bounds; say when to come back only where that is allowed

Change: watches of 4 s, so 5.5 s at most; no Retry-After there. Ruled out: gossip alone, as all streams can go silent at once. Not yet measured: some more calls to the store.

--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -19,7 +19,7 @@
 from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
 
 ANSWER_RESERVE = Millis(10)  # of a deadline: time for the answer to reach the caller
-COME_BACK = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED, ErrorKind.OUTCOME_UNKNOWN})
+COME_BACK = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
 COME_BACK_PAUSE = Millis(200)  # for a queue to drain; a shard that is gone takes seconds to return
 COME_BACK_SPREAD = (0.5, 1.5)  # times the pause, so that callers don't come back together
 LONGEST_PRIMING = Millis(150)  # for a starting daemon to read what it serves, in two short calls
@@ -158,7 +158,11 @@
             after_ms=round(self._clock.now() - arrived_at, 1),
         ).info("refused")
         signals.query_refused.send(route_name, refused=refused)
-        if refused.kind in COME_BACK and refused.retry_after is None:
+        repeatable = gather is not None and gather.is_repeatable
+        may_come_back = refused.kind in COME_BACK or (
+            refused.kind is ErrorKind.OUTCOME_UNKNOWN and repeatable
+        )
+        if may_come_back and refused.retry_after is None:
             pause = Millis(COME_BACK_PAUSE * self._rng.uniform(*COME_BACK_SPREAD))
             refused = replace(refused, retry_after=pause)
         return self._codec.refuse(request_id, refused)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -111,6 +111,11 @@
             return merge(self._route.merge, self._parts)
         return self._passed_failure() or self._refusal()
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Say whether the request may run more than once."""
+        return self._route.repeatable
+
     def _passed_failure(self) -> Answer | None:
         """Return the failure of a single instance as its own answer."""
         failure = self.record.last_failure
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -114,7 +114,9 @@
     least_fleet_size: int = Field(
         16, ge=1, description="daemons among which the slack is divided at least"
     )
-    watch_ms: int = Field(10_000, ge=100, description="length of one watch of the source, ms")
+    watch_ms: int = Field(
+        4_000, ge=100, description="length of one watch; one gone silent is noticed after it, ms"
+    )
     retry_ms: int = Field(400, ge=10, description="mean pause after a failed read, ms")
     grace_ms: int = Field(6_000, ge=600, description="time from SIGTERM to SIGKILL, ms")
 
