--- a/packages/firtrestle/firtrestle/repeat_budgets.py
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -22,26 +22,28 @@
 
 
 @dataclass(slots=True)
-class _Window:
-    """Count events by slices of a window; what is a slice too old still counts."""
+class _Slices:
+    """Count events by slices of a window, for three windows back."""
 
     length: Millis
-    slices: deque[tuple[int, int]] = field(default_factory=deque)
-    total: int = 0
+    counts: deque[tuple[int, int]] = field(default_factory=deque)
+
+    def number(self, now: Millis) -> int:
+        """Return the number of the slice that holds a time."""
+        return int(now / (self.length / SLICES))
 
     def add(self, now: Millis) -> None:
-        number = int(now / (self.length / SLICES))
-        if self.slices and self.slices[-1][0] == number:
-            self.slices[-1] = (number, self.slices[-1][1] + 1)
+        number = self.number(now)
+        if self.counts and self.counts[-1][0] == number:
+            self.counts[-1] = (number, self.counts[-1][1] + 1)
         else:
-            self.slices.append((number, 1))
-        self.total += 1
+            self.counts.append((number, 1))
+        while self.counts[0][0] < number - 3 * SLICES:
+            self.counts.popleft()
 
-    def count(self, now: Millis, slices: int = SLICES) -> int:
-        number = int(now / (self.length / SLICES))
-        while self.slices and self.slices[0][0] < number - slices:
-            self.total -= self.slices.popleft()[1]
-        return self.total
+    def between(self, first: int, last: int) -> int:
+        """Return the events of the slices from the first to the last, both included."""
+        return sum(count for number, count in self.counts if first <= number <= last)
 
 
 class RepeatBudget:
@@ -54,8 +56,8 @@
     def __init__(self, terms: RepeatTerms, clock: Clock) -> None:
         self._terms = terms
         self._clock = clock
-        self._requests = _Window(terms.window)
-        self._repeats = _Window(terms.window)
+        self._requests = _Slices(terms.window)
+        self._repeats = _Slices(terms.window)
 
     def earn(self) -> None:
         """Count a request that a caller sent."""
@@ -63,7 +65,8 @@
 
     def left(self, slack: float) -> float:
         """Return how many more repeats fit into the window; `slack` is this daemon's part."""
-        return self._allowed(slack) - self._repeats.count(self._clock.now(), SLICES + 1)
+        number = self._repeats.number(self._clock.now())
+        return self._allowed(slack) - self._repeats.between(number - SLICES - 1, number)
 
     def scarcity(self, slack: float) -> float:
         """Return 0 for an unused window, 1 for a used one."""
@@ -73,13 +76,32 @@
     def spend(self, slack: float, hedge: bool = False) -> bool:
         """Take the right to one repeat; hedges leave a reserve for retries."""
         reserve = self._allowed(slack) * (1.0 - HEDGE_SHARE) if hedge else 0.0
-        if self.left(slack) - reserve < 1.0:
+        if self.left(slack) - reserve < 1.0 or not self._fits_every_window(slack):
             return False
         self._repeats.add(self._clock.now())
         return True
 
+    def _fits_every_window(self, slack: float) -> bool:
+        """Say whether one more repeat fits into each window that holds this moment.
+
+        A window's requests are its own, those of the window before it or those of the one half a
+        window before, whichever has most; a partial slice counts for repeats, not for requests.
+        """
+        now = self._repeats.number(self._clock.now())
+        for first in range(now - SLICES, now + 1):
+            requests = max(
+                self._requests.between(first + 1, now),
+                self._requests.between(first - SLICES + 1, first - 1),
+                self._requests.between(first - SLICES // 2 + 1, min(first + SLICES // 2 - 1, now)),
+            )
+            allowed = SAFETY * (requests * self._terms.ratio + slack)
+            if self._repeats.between(first, now) + 1 > allowed:
+                return False
+        return True
+
     def _allowed(self, slack: float) -> float:
-        requests = self._requests.count(self._clock.now(), SLICES - 1)
+        number = self._requests.number(self._clock.now())
+        requests = self._requests.between(number - SLICES + 1, number)
         return SAFETY * (requests * self._terms.ratio + slack)
 
 
