--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -232,3 +232,20 @@
         assert sum(late) >= len(late) * 0.15  # of at most a quarter, the one's speed
 
     run_world(behave, body)
+
+
+def test_a_replica_that_sheds_gets_little_beside_ones_that_answer():
+    """Most instances shed most requests: where some replica of a shard answers, work goes there."""
+
+    def behave(instance, nth):
+        return (3, shed()) if instance.id == "s0-0" else (20, good(instance))
+
+    async def body(world):
+        for number in range(80):
+            if number == 60:
+                world.pools.sent.clear()
+            await world.ask(scatter_route(1))
+            await sleep(Millis(20))
+        assert world.pools.sent.count("s0-0") <= 4
+
+    run_world(behave, body, services=1)
