Pass headers of any bytes on; check a request's common headers once for all its parts

Ruled out: nothing else writes what it read in another encoding; request targets are ASCII by the parser.

--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -6,6 +6,7 @@
 import select
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 import h11
@@ -59,6 +60,32 @@
     reason: str
 
 
+class RequestTemplate:
+    """Hold a checked request of which many servers get a copy with a few headers of their own.
+
+    Checking a dozen headers takes longer than sending them; the copies check their own alone.
+    """
+
+    def __init__(self, method: str, target: str, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        self._request = h11.Request(method=method, target=target, headers=list(headers))
+        checked = self._request.headers
+        self._headers = type(checked)
+        names = (name for name, _ in checked)
+        self._rows = [
+            (raw, name, value)
+            for (raw, value), name in zip(checked.raw_items(), names, strict=True)
+        ]
+
+    def copy(self, headers: Sequence[tuple[bytes, str]]) -> h11.Request:
+        """Return a request with some headers more; raise h11.LocalProtocolError on a bad value."""
+        rows = [(name, name.lower(), _header_value(value)) for name, value in headers]
+        return h11.Request(
+            method=self._request.method,
+            target=self._request.target,
+            headers=self._headers(self._rows + rows),
+        )
+
+
 class HttpConnection:
     """Carry one request at a time to one server."""
 
@@ -92,7 +119,16 @@
     async def exchange(
         self, method: str, target: str, headers: Sequence[tuple[str, str]], body: bytes = b""
     ) -> HttpReply | HttpFailure:
-        """Send one request with just these headers and read its reply.
+        """Send one request with just these headers and read its reply."""
+        try:
+            request = h11.Request(method=method, target=target, headers=list(headers))
+        except h11.LocalProtocolError as error:
+            self.usable = False
+            return HttpFailure(False, f"the protocol was broken: {error}")
+        return await self.carry(request, body)
+
+    async def carry(self, request: h11.Request, body: bytes = b"") -> HttpReply | HttpFailure:
+        """Send a request as it is and read its reply.
 
         A reply may come before the server has read the whole body; such a connection is spent, as
         is one with bytes after its reply.
@@ -101,8 +137,7 @@
         sent = False
         outcome: HttpReply | HttpFailure
         try:
-            head = h11.Request(method=method, target=target, headers=list(headers))
-            data = self._http.send(head)
+            data = self._http.send(request)
             if body:
                 data += self._http.send(h11.Data(data=body))
             data += self._http.send(h11.EndOfMessage())
@@ -184,6 +219,14 @@
         return True
 
 
+@lru_cache(maxsize=8_192)
+def _header_value(text: str) -> bytes:
+    """Return a header's value as bytes; the names of instances and times left come again."""
+    if not (text and text.isascii() and text.isprintable() and text == text.strip()):
+        raise h11.LocalProtocolError(f"illegal header value {text!r}")
+    return text.encode()
+
+
 async def _connect(host: str, port: int) -> trio.SocketStream:
     """Connect; an IPv4 address, as registries give it, needs no search for ways to a name."""
     if not host.replace(".", "").isdigit():
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -239,7 +239,8 @@
         ]
         if last:
             headers.append(("Connection", "close"))
-        head = h11.Response(status_code=response.status, headers=headers)
+        encoded = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+        head = h11.Response(status_code=response.status, headers=encoded)
         data = self._http.send(head)
         if not self._answers_head():
             data += self._http.send(h11.Data(data=response.body))
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import h11
 import trio
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis
@@ -120,8 +121,8 @@
         self._sent.append(call)
         try:
             left = Millis(call.give_up_at - self._clock.now())
-            headers = self._codec.head(message, self.instance, left)
-            reply = await connection.exchange(message.method, message.target, headers, message.body)
+            request = self._codec.request(message, self.instance, left)
+            reply = await connection.carry(request, message.body)
             if isinstance(reply, HttpFailure):
                 call.finish(failed_reply(reply))
                 return
@@ -130,6 +131,9 @@
             if part.is_foreign:
                 connection.usable = False
             call.finish(part)
+        except h11.LocalProtocolError as error:
+            connection.usable = False
+            call.finish(failed_reply(HttpFailure(False, f"the request can't be sent: {error}")))
         finally:
             self._sent.remove(call)
             self._give_back(connection, keep)
--- a/packages/firtrestle/firtrestle/part_replies.py
+++ b/packages/firtrestle/firtrestle/part_replies.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import h11
+
 from firtrestle.clocks import Millis
 from firtrestle.http_clients import HttpFailure, HttpReply
 from firtrestle.instances import Instance
@@ -46,10 +48,8 @@
 class InstanceCodec(Protocol):
     """Write a message for an instance and read its reply."""
 
-    def head(
-        self, message: CallerMessage, instance: Instance, time_left: Millis
-    ) -> list[tuple[str, str]]:
-        """Return the headers of a request."""
+    def request(self, message: CallerMessage, instance: Instance, time_left: Millis) -> h11.Request:
+        """Return the head of a request; raise h11.LocalProtocolError where it can't be sent."""
 
     def read(self, message: CallerMessage, reply: HttpReply) -> PartReply:
         """Check and decode a reply."""
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 
+import h11
 import trio
 from firtrestle.clocks import Clock, Millis
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
@@ -14,8 +15,8 @@
 
 
 class Codec:
-    def head(self, message, instance, time_left):
-        return [("Host", "h")]
+    def request(self, message, instance, time_left):
+        return h11.Request(method="GET", target=message.target, headers=[("Host", "h")])
 
     def read(self, message, reply):
         return PartReply(SubOutcome.OK, reply.status, body=reply.body, reached=True)
