Reload log settings on SIGHUP; turn from shedding replicas to those outside the subset

Cause: (1) SIGHUP only wrote a line, and before its handler was set (0.5 s of imports) it ended the process.

Change: SIGHUP is ignored until it is handled, then the settings are read again: logs at once, the names of other changed sections are logged as waiting for the next start; unusable settings change nothing. A replica whose likely share of successes is under 0.7 gives its place in the subset to the next.

--- a/packages/firtrestle/firtrestle/daemon.py
+++ b/packages/firtrestle/firtrestle/daemon.py
@@ -4,11 +4,13 @@
 
 import errno
 import gc
+import signal
 import sys
 from functools import partial
 from pathlib import Path
 from typing import Annotated
 
+signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is handled: its default ends the process
 gc.disable()  # a start imports much and frees nothing; enabled again before it serves
 
 import trio
@@ -25,14 +27,17 @@
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
-async def serve(settings: Settings, kernel: Kernel) -> None:
+async def serve(settings: Settings, kernel: Kernel, settings_file: Path) -> None:
     """Run one daemon until it is told to stop; only its own kind's modules are loaded."""
     async with trio.open_nursery() as nursery:
         if settings.routes.source:
-            from firtrestle.route_daemons import RouteDaemon as Daemon
+            from firtrestle.route_daemons import RouteDaemon
+
+            await RouteDaemon(settings, kernel, nursery, settings_file).run()
         else:
-            from firtrestle.catalogue_daemons import CatalogueDaemon as Daemon
-        await Daemon(settings, kernel, nursery).run()
+            from firtrestle.catalogue_daemons import CatalogueDaemon
+
+            await CatalogueDaemon(settings, kernel, nursery).run()
 
 
 @app.command()
@@ -55,7 +60,7 @@
     gc.enable()
     gc.set_threshold(COLLECTOR_THRESHOLD)
     try:
-        trio.run(partial(serve, settings, kernel))
+        trio.run(partial(serve, settings, kernel, settings_file))
     except* OSError as errors:
         _report_os_error(errors.exceptions[0])
 
--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -14,7 +14,6 @@
 
 MIN_SAMPLES = 8  # replies before a replica's latency is trusted
 TYPICAL_LATENCY = Millis(5)
-LATENCY_HALF_LIFE = Millis(1_500)  # of what a silent replica was thought slower than the fastest
 LEAST_SUCCESS = 0.05  # so that a replica that sheds all is still comparable
 FAR_FACTOR = 2.0  # for another data centre: bytes between them are scarce, balance comes first
 HINT_WEIGHT = 0.25  # of the queue that the holder reports, which is a moment old
@@ -72,9 +71,8 @@
     def _aged_rank(self, replica: Replica, floor: Millis, now: Millis) -> tuple[float, float]:
         load = 1 + replica.in_flight + replica.queue(now) * HINT_WEIGHT
         latency = replica.latency if replica.samples else floor
-        faded = 0.5 ** ((now - replica.noted_at) / LATENCY_HALF_LIFE)
-        aged = max(floor, floor + (latency - floor) * faded)
-        success = max(LEAST_SUCCESS, 1.0 - (1.0 - replica.success) * faded)
+        aged = max(floor, floor + (latency - floor) * replica.belief(now))
+        success = max(LEAST_SUCCESS, replica.likely_success(now))
         cost = load * max(aged, 0.1) / success**2 * self._warm_up_factor(replica)
         return cost * (FAR_FACTOR if replica.far else 1.0), self._rng.random()
 
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -11,6 +11,7 @@
 LATENCY_WEIGHT = 0.2  # of the newest latency in the moving mean
 SUCCESS_WEIGHT = 0.15  # of the newest outcome in the moving share of successes
 CLEAN_RUN = 16  # answers in a row, after which earlier ejections are forgotten
+BELIEF_HALF_LIFE = Millis(1_500)  # of what is known of a replica that gets no work
 HINT_LIFE = Millis(40)
 MOST_ROOM = 16.0  # more than the slots and queue that a daemon's part of an instance comes to
 LEAST_ROOM = 1.0  # so that a recovery is noticed
@@ -83,6 +84,14 @@
         self.room = max(LEAST_ROOM, self.room / 2)
         self.note_lost(latency, now)
 
+    def belief(self, now: Millis) -> float:
+        """Return how far what is known still counts: 1 just after a reply, then fading."""
+        return 0.5 ** ((now - self.noted_at) / BELIEF_HALF_LIFE)
+
+    def likely_success(self, now: Millis) -> float:
+        """Return the share of successes that may be expected now."""
+        return 1.0 - (1.0 - self.success) * self.belief(now)
+
     def has_room(self) -> bool:
         """Say whether one more request is likely to be answered in time."""
         return self.in_flight < self.room
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import time
+from pathlib import Path
 from typing import Any
 
 import trio
@@ -18,6 +19,7 @@
 from firtrestle.instances import Instances
 from firtrestle.kernels import Kernel
 from firtrestle.listeners import listen
+from firtrestle.logs import configure_logs
 from firtrestle.members import Members
 from firtrestle.messages import Done, Ping, PingFor, Pull
 from firtrestle.pauses import PauseGuard
@@ -31,7 +33,7 @@
 from firtrestle.route_sources import News, SourceTools
 from firtrestle.routes import RouteTable
 from firtrestle.service_gathers import ServiceTools
-from firtrestle.settings import Settings
+from firtrestle.settings import Settings, load_settings
 from firtrestle.snapshots import ReplicaId
 from firtrestle.spreads import Spreader, SpreadMap
 
@@ -46,8 +48,15 @@
 class RouteDaemon:
     """Build the parts of one daemon over a route source, and run them."""
 
-    def __init__(self, settings: Settings, kernel: Kernel, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        kernel: Kernel,
+        nursery: trio.Nursery,
+        settings_file: Path | None = None,
+    ) -> None:
         self.settings = settings
+        self._settings_file = settings_file
         self.clock = clock = Clock()
         self.incarnation = time.time_ns() // 1_000_000
         self._nursery = nursery
@@ -171,10 +180,27 @@
             module.register(self._kernel)
 
     async def _note_reloads(self) -> None:
-        """Log a request to reload; settings come into force with the next start."""
+        """Read the settings again whenever that is asked for, for ever."""
         with trio.open_signal_receiver(signal.SIGHUP) as received:
             async for _ in received:
-                logger.info("reload asked for; settings are read at the next start")
+                if self._settings_file is not None:
+                    self.reload(self._settings_file)
+
+    def reload(self, settings_file: Path) -> None:
+        """Take over what can change while serving: logs. The rest waits for the next start."""
+        settings = load_settings(settings_file)
+        if not isinstance(settings, Settings):
+            faults = [str(fault) for fault in settings]
+            logger.bind(faults=faults).error("settings not reloaded: they are unusable")
+            return
+        waiting = [
+            name
+            for name in Settings.model_fields
+            if name != "logs" and getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = self.settings.model_copy(update={"logs": settings.logs})
+        configure_logs(settings.logs, settings.daemon)
+        logger.bind(level=settings.logs.level, waiting=waiting).info("settings reloaded")
 
     async def _wait_for_stop(self, listening: trio.CancelScope) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -29,6 +29,7 @@
 
 LATENCY_RESERVE = Millis(10)  # of the latency target: merging and the way to the caller
 OVERDUE_SHARE = 0.5  # of the latency target: a reply that is later helps no answer
+LEAST_FIT_SUCCESS = 0.7  # of a replica; one that sheds more gives its place to another
 MAX_UNREACHED = 6  # instances that took nothing, after which a shard is given up
 FIRST_HEDGE_SHARE = 0.3  # of the latency target, before replies of the route are known
 EARLIEST_HEDGE_SHARE = 0.15  # of the latency target: noise lies below it
@@ -158,7 +159,10 @@
         return [instance.replica_id for instance in chosen]
 
     def _is_fit(self, instance: Instance) -> bool:
-        return not self._tools.replicas.get(instance.replica_id).is_ejected(self._tools.clock.now())
+        """Say whether a replica of this daemon's subset is worth its place there."""
+        now = self._tools.clock.now()
+        record = self._tools.replicas.get(instance.replica_id)
+        return not record.is_ejected(now) and record.likely_success(now) >= LEAST_FIT_SUCCESS
 
     def _limit(self, service: str) -> int:
         """Return how many connections an instance of a service takes from all, 0 if unlimited."""
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -5,6 +5,7 @@
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.replica_subsets import FleetSize
 from route_fakes import (
     failed,
     good,
@@ -327,3 +328,26 @@
         assert budget.left(world.tools.budgets.slack) >= before
 
     run_world(lambda instance, nth: (math.inf, good(instance)), body)
+
+
+def test_a_daemon_with_few_connections_turns_from_shedding_replicas_to_the_third():
+    """Searchers of many shards shed: both that a daemon of a large fleet uses of one shard."""
+
+    async def body(world):
+        world.tools.subsets.fleet = FleetSize(61, 61)
+        used = world.tools.subsets.choose(world.tools.serving("s0"), 31, lambda one: True)
+        assert len(used) == 2
+        shedding.extend(one.id for one in used)
+        answered = 0
+        for _ in range(60):
+            result, _ = await world.ask(scatter_route(1))
+            answered += isinstance(result, Answer)
+            await sleep(Millis(100))
+        assert answered >= 50
+
+    shedding = []
+    run_world(
+        lambda instance, nth: (5, shed() if instance.id in shedding else good(instance)),
+        body,
+        services=1,
+    )
