--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+SEED ?= 1
+SEEDS ?= 1
+MINUTES ?= 0.5
+DAEMONS ?= 8
 
 .PHONY: setup test lint demo playground bench soak slopes overheads clean
 
@@ -31,7 +35,8 @@
 	$(BIN)/python -m bench all
 
 soak: setup
-	$(BIN)/python -m bench soak
+	$(BIN)/python platform/tests/soaks.py --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES) \
+		--daemons $(DAEMONS)
 
 slopes: setup
 	$(BIN)/python -m bench.slopes
--- /dev/null
+++ b/packages/firtrestle/tests/test_registry_models.py
@@ -0,0 +1,158 @@
+"""Model check: whoever says that it knows all changes up to a revision does know them.
+
+Daemons read a registry from where they left off, push some changes, exchange pings that repair
+what differs, lose pushes and restart. Nothing here has a network.
+"""
+
+import random
+
+from firtrestle.clocks import Clock, Millis
+from firtrestle.instances import Instance, Instances
+from firtrestle.messages import Ping
+from firtrestle.registry_readers import RegistryProgress
+from firtrestle.route_sources import INSTANCE_PREFIX, BadRoutes, News
+from firtrestle.routes import RouteTable
+from firtrestle.spreads import Spreader, SpreadMap
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+PART = "instances"
+DAEMONS = st.integers(0, 3)
+IDS = st.sampled_from("abcde")
+
+
+class HandClock(Clock):
+    at = 0.0
+
+    def now(self) -> Millis:
+        return Millis(self.at)
+
+
+class Daemon:
+    def __init__(self, clock, rng) -> None:
+        self.items = SpreadMap()
+        self.spreader = Spreader(self.items, 3, rng, clock)
+        self.instances = Instances(clock, lambda gone: None)
+        self.applied = []
+        self.news = News(self.items, self.instances, self.applied.append)
+        self.news.start(lambda text: RouteTable(int(text)) if text else BadRoutes("empty"))
+        self.progress = RegistryProgress(clock)
+        self.progress.expected = frozenset({PART})
+
+    def ping(self, other: "Daemon", asked_at: Millis) -> None:
+        pong = other.spreader.serve_ping(Ping("d", list(self.items.digest)))
+        pong.progress = other.progress.told()
+        repair = self.spreader.repair_for(pong)
+        if repair is not None:
+            self.items.put_rows(other.spreader.serve_pull(repair).items)
+        self.progress.adopt(pong.progress, asked_at)
+
+
+class RegistryModel(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = HandClock()
+        self.rng = random.Random(1)
+        self.revision = 1
+        self.version = 1
+        self.events = []  # (revision, id, instance or None)
+        self.current = {}
+        self.daemons = [Daemon(self.clock, self.rng) for _ in range(4)]
+
+    @rule(name=IDS, draining=st.booleans(), born=st.integers(1, 3))
+    def register(self, name, draining, born):
+        self.revision += 1
+        self.current[name] = Instance(name, "s", "h", 1, "dc", 3, draining, born)
+        self.events.append((self.revision, name, self.current[name]))
+
+    @rule(name=IDS)
+    def remove(self, name):
+        if self.current.pop(name, None) is not None:
+            self.revision += 1
+            self.events.append((self.revision, name, None))
+
+    @rule(number=DAEMONS)
+    def watch(self, number):
+        daemon = self.daemons[number]
+        after = daemon.progress.revision(PART)
+        if after is None:
+            self.read_all(daemon)
+            return
+        for revision, name, instance in self.events:
+            if revision > after:
+                self.tell(daemon, revision, name, instance)
+        daemon.progress.took(PART, self.revision)
+
+    @rule(number=DAEMONS)
+    def lose_history(self, number):
+        self.daemons[number].progress.forget(PART)
+        self.read_all(self.daemons[number])
+
+    def read_all(self, daemon):
+        last = {name: revision for revision, name, _ in self.events}
+        for name, instance in self.current.items():
+            self.tell(daemon, last[name], name, instance)
+        daemon.news.present(set(self.current), self.revision)
+        daemon.progress.took(PART, self.revision)
+
+    def tell(self, daemon, revision, name, instance):
+        if instance is None:
+            daemon.news.gone(name, revision)
+        else:
+            daemon.news.instance(instance, revision)
+
+    @rule(number=DAEMONS, other=DAEMONS, lost=st.booleans())
+    def push(self, number, other, lost):
+        rows = self.daemons[number].items.take_changed()
+        if not lost and number != other:
+            self.daemons[other].items.put_rows(rows)
+
+    @rule(number=DAEMONS, other=DAEMONS)
+    def ping(self, number, other):
+        if number != other:
+            self.daemons[number].ping(self.daemons[other], self.clock.now())
+
+    @rule(number=DAEMONS)
+    def restart(self, number):
+        self.daemons[number] = Daemon(self.clock, self.rng)
+
+    @rule(number=DAEMONS)
+    def publish(self, number):
+        self.version += 1
+        self.daemons[number].news.routes(self.version, str(self.version))
+
+    @rule(pause=st.floats(1, 4_000))
+    def wait(self, pause):
+        self.clock.at += pause
+        for daemon in self.daemons:
+            daemon.instances.expire()
+
+    @invariant()
+    def what_is_said_to_be_known_is_known(self):
+        for daemon in self.daemons:
+            known = daemon.progress.revision(PART) or 0
+            last = {}
+            for revision, name, instance in self.events:
+                if revision <= known:
+                    last[name] = (revision, instance)
+            for name, (revision, instance) in last.items():
+                item = daemon.items.by_key.get(INSTANCE_PREFIX + name)
+                if instance is None and item is None:
+                    continue  # it was gone before this daemon read anything
+                assert item is not None, f"{name} of {revision} is not held, {known} is said"
+                if item.stamp <= revision:
+                    held = Instance(name, *item.value) if item.value else None
+                    assert held == instance, f"{name} at {known}"
+
+    @invariant()
+    def versions_only_grow(self):
+        for daemon in self.daemons:
+            versions = [table.version for table in daemon.applied]
+            assert versions == sorted(set(versions))
+
+
+TestRegistryModel = RegistryModel.TestCase
+TestRegistryModel.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
