--- a/packages/firtrestle/firtrestle/snapshot_gathers.py
+++ b/packages/firtrestle/firtrestle/snapshot_gathers.py
@@ -151,6 +151,7 @@
             target=attempt.replica.id.target_id,
             outcome=str(outcome),
             reason=reply.reason,
+            reached=reply.sent,
         )
         if outcome is SubOutcome.DIED and self._died(attempt):
             return
