Hold off routed requests that crash the instances that run them

Cause: routes knew no quarantine. A request that crashes its searchers was sent on by each daemon at each retry; the platform allows three retries once it has crashed the third.

Ruled out: the catalogue's quarantine as it is.

Change: a broken reply counts as a crash only if its instance is unreachable, gone or restarted within 5 s, and if no other part of the request had come. Three instances, counted over all daemons by union, hold the request off for 60 s with Retry-After; one whole answer clears it everywhere. Hedges wait for closed instead of answered shards, so that shards given up don't put them off.

--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, move_on_after, sleep
+from firtrestle.crash_records import CrashRecords
 from firtrestle.events import EventKind, EventLog
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import InstancePools
@@ -90,6 +91,7 @@
         self._pools = InstancePools(instance_codec, clock, nursery)
         self.instances = Instances(clock, self._forget)
         self._budgets = self._build_budgets()
+        self._crashes = CrashRecords(self.items, clock)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         tools = ServiceTools(
             clock=clock,
@@ -103,6 +105,7 @@
             pools=self._pools,
             budgets=self._budgets,
             subsets=self._subsets,
+            crashes=self._crashes,
             data_centre=settings.daemon.data_centre,
         )
         self.state = RouteState(RouteTable())
@@ -160,6 +163,7 @@
         """Drop what is stale, and follow the fleet's size, for ever."""
         while True:
             self.instances.expire()
+            self._crashes.expire()
             self._pools.close_stale()
             self._count_fleet()
             await sleep(HOUSEKEEPING_PAUSE)
@@ -293,6 +297,8 @@
         logger.bind(version=table.version, before=before.version).info("desired state in force")
 
     def _forget(self, replica_ids: set[ReplicaId]) -> None:
+        for replica_id in replica_ids:
+            self._crashes.note_gone(replica_id)
         self._replicas.forget(replica_ids)
         self._pools.forget(replica_ids)
 
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -12,6 +12,7 @@
 from firtrestle import signals
 from firtrestle.answers import Answer
 from firtrestle.clocks import Clock, Millis, move_on_after
+from firtrestle.crash_records import message_fingerprint
 from firtrestle.errors import ErrorKind, Refused
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.part_replies import CallerMessage
@@ -112,8 +113,13 @@
         if time_left <= 0 or not services:
             kind = ErrorKind.DEADLINE_PASSED if services else ErrorKind.NO_TARGET
             return self._refuse(request_id, route.name, arrived_at, Refused(kind))
+        fingerprint = message_fingerprint(incoming.message)
+        held_off = self._tools.crashes.time_left(fingerprint)
+        if held_off is not None:
+            refused = Refused(ErrorKind.QUARANTINED, detail=fingerprint, retry_after=held_off)
+            return self._refuse(request_id, route.name, arrived_at, refused)
         give_up_at = Millis(arrived_at + time_left)
-        routed = RoutedRequest(incoming.message, route, table, arrived_at, give_up_at)
+        routed = RoutedRequest(incoming.message, route, table, arrived_at, give_up_at, fingerprint)
         gather = ServiceGather(self._tools, routed, services)
         result = await gather.run()
         if isinstance(result, Refused):
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -12,6 +12,7 @@
 from firtrestle.answers import Answer, Parts, merge
 from firtrestle.attempts import Attempt, ShardState
 from firtrestle.clocks import Clock, Millis
+from firtrestle.crash_records import CrashRecords
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.gathers import Gather
 from firtrestle.hedgers import Hedger, Progress
@@ -34,7 +35,7 @@
 FIRST_HEDGE_SHARE = 0.3  # of the latency target, before replies of the route are known
 EARLIEST_HEDGE_SHARE = 0.15  # of the latency target: noise lies below it
 LATEST_HEDGE_SHARE = 0.5  # of the latency target: a later hedge comes too late
-ANSWERED_SHARE = 0.7  # of the shards, before which a late reply tells of a slow moment here
+CLOSED_SHARE = 0.7  # of the shards, before which a late reply tells of a slow moment here
 
 
 @dataclass(slots=True)
@@ -50,6 +51,7 @@
     pools: InstancePools
     budgets: RepeatBudgets
     subsets: ReplicaSubsets
+    crashes: CrashRecords
     data_centre: str
     _seen_by_service: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
 
@@ -73,6 +75,7 @@
     table: RouteTable
     arrived_at: Millis
     give_up_at: Millis
+    fingerprint: str = ""
 
     @property
     def answer_by(self) -> Millis:
@@ -198,6 +201,8 @@
     ) -> None:
         """Take a service's reply, and stop its other attempts."""
         now = self._tools.clock.now()
+        if not self._tools.crashes.is_idle:
+            self._tools.crashes.note_survived(self._request.fingerprint)
         for loser in state.attempts:
             lost = Millis(now - loser.sent_at)
             self._latencies.append(lost)
@@ -244,6 +249,9 @@
             self._tools.instances.bar(attempt.replica.id)
         if not reply.reached:
             state.unreached += 1
+            self._tools.crashes.note_gone(attempt.replica.id)
+        elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
+            self._tools.crashes.note_break(self._request.fingerprint, attempt.replica.id)
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.record.last_failure = reply
         if state.attempts:
@@ -298,7 +306,8 @@
         if not self._route.repeatable or self._route.max_attempts < 2:
             return None
         target = self._route.latency_target
-        if len(self._parts.reply_by_service) < int(ANSWERED_SHARE * len(self._services)):
+        closed = len(self._services) - len(self._open_by_shard)
+        if closed < int(CLOSED_SHARE * len(self._services)):
             return Millis(target * LATEST_HEDGE_SHARE)
         delay = self._tools.hedger.delay(
             Progress(self._route.name, len(self._services), len(self._latencies), Millis(0))
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -9,6 +9,7 @@
 
 import trio
 from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.crash_records import CrashRecords, message_fingerprint
 from firtrestle.instance_pools import PartCall
 from firtrestle.instances import Instance, Instances
 from firtrestle.outcomes import SubOutcome
@@ -21,6 +22,7 @@
 from firtrestle.routes import Route, RouteTable, ServiceTerms, TopRecords, WeightedService
 from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
 from firtrestle.settings import TargetSettings
+from firtrestle.spreads import SpreadMap
 from trio.testing import MockClock
 
 Behave = Callable[[Instance, int], tuple[float, PartReply]]
@@ -89,12 +91,14 @@
     table: RouteTable
     numbers: int = 0
 
-    async def ask(self, route: Route, time_left: float = 1_000, services=None):
+    async def ask(self, route: Route, time_left: float = 1_000, services=None, target="/p/x"):
         """Return a request's result and its gather."""
         self.numbers += 1
         now = self.tools.clock.now()
-        message = CallerMessage(f"r{self.numbers}", "GET", "/p/x", "h", (), b"")
-        request = RoutedRequest(message, route, self.table, now, Millis(now + time_left))
+        message = CallerMessage(f"r{self.numbers}", "GET", target, "h", (), b"")
+        fingerprint = message_fingerprint(message)
+        give_up_at = Millis(now + time_left)
+        request = RoutedRequest(message, route, self.table, now, give_up_at, fingerprint)
         chosen = services or route.pick_services(self.tools.rng)
         gather = ServiceGather(self.tools, request, chosen)
         return await gather.run(), gather
@@ -163,6 +167,7 @@
                 pools=pools,
                 budgets=budgets,
                 subsets=ReplicaSubsets("d1", "dc"),
+                crashes=CrashRecords(SpreadMap(), clock),
                 data_centre="dc",
             )
             names = [f"s{number}" for number in range(services)]
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -1,10 +1,13 @@
 import math
 from collections import Counter
+from dataclasses import replace
 
 import trio
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
+from firtrestle.crash_records import message_fingerprint
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.part_replies import CallerMessage
 from firtrestle.replica_subsets import FleetSize
 from route_fakes import (
     failed,
@@ -351,3 +354,50 @@
         body,
         services=1,
     )
+
+
+def test_a_request_that_crashes_its_searchers_is_held_off_and_others_are_not():
+    """Each instance that gets the poisoned request breaks off and is unreachable for a while."""
+
+    async def body(world):
+        route = plain_route(repeatable=True)
+        for _ in range(3):
+            await world.ask(route, target="/p/poison")
+            await sleep(Millis(50))
+            await world.ask(route, target="/p/innocent")
+        message = CallerMessage("r", "GET", "/p/poison", "h", (), b"")
+        assert world.tools.crashes.time_left(message_fingerprint(message)) is not None
+        innocent = replace(message, target="/p/innocent")
+        assert world.tools.crashes.time_left(message_fingerprint(innocent)) is None
+
+    crashed = set()
+
+    def behave(instance, nth):
+        if instance.id in crashed:
+            return 1, unreachable()
+        crashed.add(instance.id)
+        return 5, lost()
+
+    run_world(behave, body, services=1)
+
+
+def test_searchers_of_many_shards_that_crash_at_once_hold_no_request_off():
+    """Seven of 36 shards lose a replica while a gather runs: its other parts came whole."""
+
+    async def body(world):
+        await world.ask(scatter_route(36))
+        for instance in world.tools.instances.serving("s0"):
+            world.tools.crashes.note_gone(instance.replica_id)
+        message = CallerMessage("r", "GET", "/p/x", "h", (), b"")
+        assert world.tools.crashes.time_left(message_fingerprint(message)) is None
+
+    crashed = set()
+
+    def behave(instance, nth):
+        dies = int(instance.service[1:]) < 7 and (instance.id in crashed or nth == 1)
+        if not dies or len(crashed) >= 7:
+            return 8, good(instance)
+        crashed.add(instance.id)
+        return 5, lost()
+
+    run_world(behave, body, services=36)
