Build both kinds of daemon on one base; call what the project already had

Mended, behaviour as it was: - RouteDaemon and CatalogueDaemon began, accepted and waited for their end in the same lines: BaseDaemon. - HttpBounds for callers were built twice: HttpBounds.from_config. - Readers and replicas were ranked by hashes of their own: rendezvous.rank, as leases and holders do. RegistryProgress gets its parts when it is built.

--- a/packages/firtrestle/firtrestle/answers.py
+++ b/packages/firtrestle/firtrestle/answers.py
@@ -31,11 +31,6 @@
     services: tuple[str, ...]
     reply_by_service: dict[str, PartReply] = field(default_factory=dict)
 
-    @property
-    def coverage(self) -> float:
-        """Return the share of the services that replied."""
-        return len(self.reply_by_service) / len(self.services)
-
 
 @singledispatch
 def merge(rule: MergeRule, parts: Parts) -> Answer:
--- a/packages/firtrestle/firtrestle/catalogue_daemons.py
+++ b/packages/firtrestle/firtrestle/catalogue_daemons.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import random
-import signal
-import time
 from typing import Any
 
 import trio
 from loguru import logger
 
 from firtrestle import signals
+from firtrestle.base_daemons import STOP_POLL, BaseDaemon
 from firtrestle.catalogues import RESERVED_PREFIX, Catalogue, parse_catalogue
 from firtrestle.claims import Claims, KeyTable
-from firtrestle.clocks import Clock, Millis, move_on_after, sleep
+from firtrestle.clocks import Millis, move_on_after, sleep
 from firtrestle.comparisons import Comparisons
-from firtrestle.events import EventKind, EventLog
+from firtrestle.events import EventKind
 from firtrestle.fronts import Front, FrontState
 from firtrestle.gather_tools import GatherTools
 from firtrestle.holders import Holders
@@ -38,7 +36,7 @@
 from firtrestle.retirements import merged_comparisons, retirement_faults
 from firtrestle.settings import Settings
 from firtrestle.shares import Shares
-from firtrestle.spreads import Item, Spreader, SpreadMap
+from firtrestle.spreads import Item
 from firtrestle.vm_lists import parse_vm_list
 from firtrestle.voters import Voters
 
@@ -46,24 +44,15 @@
 VMS = "vms"
 CREDIT_SPREAD_PAUSE = Millis(1_000)
 CREDIT_PAUSE_PER_DAEMON = Millis(100)  # so that all daemons together spread ten times a second
-STOP_POLL = Millis(20)
 
 
-class CatalogueDaemon:
+class CatalogueDaemon(BaseDaemon):
     """Build the parts of one daemon and run them."""
 
     def __init__(self, settings: Settings, kernel: Kernel, nursery: trio.Nursery) -> None:
-        self.settings = settings
-        self.clock = clock = Clock()
-        self.incarnation = time.time_ns() // 1_000_000
-        self._nursery = nursery
-        self._kernel = kernel
-        rng = random.Random(f"{settings.daemon.id}/{self.incarnation}")
+        super().__init__(settings, kernel, nursery)
+        clock, rng, events = self.clock, self._rng, self.events
         process = settings.daemon.id
-        events = EventLog(process, self.incarnation, clock, settings.events.capacity)
-        self.events = events
-        self.items = SpreadMap()
-        self._spreader = Spreader(self.items, settings.peers.fanout, rng, clock)
         self._clients = PeerClients(nursery, settings.daemon.address)
         me = Members.me_from_config(settings.daemon, self.incarnation)
         self.members = Members(
@@ -86,7 +75,7 @@
             self.members, self.items, targets, self._lease_keeper, clock, events, nursery, rng
         )
         quarantines = Quarantines(settings.quarantine, self.items, clock, events)
-        self._tools = tools = self._build_tools(quarantines, rng)
+        self._tools = tools = self._build_tools(quarantines)
         admitter = kernel.admitters.get(settings.policies.admitter).from_config(clock, rng)
         self.state = FrontState(Catalogue())
         self._shares = Shares(self.voters, self._call_voter, clock, rng)
@@ -99,9 +88,9 @@
         signals.query_answered.connect(self._comparisons.on_answer)
         platform = settings.platform
         self._catalogue_watcher = self._build_watcher(
-            CATALOGUE, platform.configuration_service, _catalogue_faults, rng, self._may_not_follow
+            CATALOGUE, platform.configuration_service, _catalogue_faults, self._may_not_follow
         )
-        self._vms_watcher = self._build_watcher(VMS, platform.vm_list, _vm_list_faults, rng)
+        self._vms_watcher = self._build_watcher(VMS, platform.vm_list, _vm_list_faults)
         self._joiner = Joiner(
             me, self.voters, self._vms_watcher, self._clients, settings.platform, rng
         )
@@ -135,24 +124,19 @@
             clock.now(),
         )
         front = settings.front
-        bounds = HttpBounds(
-            front.max_body_bytes, Millis(front.read_timeout_ms), Millis(front.idle_timeout_ms)
-        )
-        self._http = HttpServer(self._handle, bounds, front.max_connections)
+        self._http = HttpServer(self._handle, HttpBounds.from_config(front), front.max_connections)
         self.items.listen(DOCUMENT_PREFIX + CATALOGUE, self._on_catalogue)
         self.items.listen(DOCUMENT_PREFIX + VMS, self._on_vms)
 
-    def _build_tools(self, quarantines: Quarantines, rng: random.Random) -> GatherTools:
-        policies, clock = self.settings.policies, self.clock
-        chooser = self._kernel.choosers.get(policies.chooser)
+    def _build_tools(self, quarantines: Quarantines) -> GatherTools:
         return GatherTools(
-            clock=clock,
-            rng=rng,
+            clock=self.clock,
+            rng=self._rng,
             events=self.events,
             holders=self.holders,
-            replicas=Replicas(clock),
-            chooser=chooser.from_config(self.settings.targets, clock, rng),
-            hedger=self._kernel.hedgers.get(policies.hedger).from_config(clock),
+            replicas=Replicas(self.clock),
+            chooser=self._build_chooser(),
+            hedger=self._build_hedger(),
             quarantines=quarantines,
         )
 
@@ -161,7 +145,6 @@
         name: str,
         address: str,
         faults_of: FaultsOf,
-        rng: random.Random,
         may_not_follow: FaultsOf | None = None,
     ) -> DocumentWatcher:
         return DocumentWatcher(
@@ -172,7 +155,7 @@
             self.items,
             self.members,
             self.clock,
-            rng,
+            self._rng,
             may_not_follow,
         )
 
@@ -205,17 +188,6 @@
         start(self._shares.run, lambda: self.state.catalogue)
         await self._wait_for_stop(listening)
 
-    async def _accept(self, listener: Any, serve: Any, scope: trio.CancelScope) -> None:
-        with scope:
-            await trio.serve_listeners(serve, [listener], handler_nursery=self._nursery)
-
-    async def _wait_for_stop(self, listening: trio.CancelScope) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-            async for _ in received:
-                break
-        await self._stop(listening)
-        self._nursery.cancel_scope.cancel()
-
     async def _stop(self, listening: trio.CancelScope) -> None:
         """Hand over, finish every request, and return."""
         logger.info("stopping")
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -15,6 +15,7 @@
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.problems import problem_response
+from firtrestle.settings import FrontSettings
 
 CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 16_384
@@ -66,6 +67,13 @@
     idle_timeout: Millis = Millis(60_000)
     max_head_bytes: int = MAX_HEAD_BYTES
 
+    @classmethod
+    def from_config(cls, front: FrontSettings) -> HttpBounds:
+        """Build the bounds for callers from the settings."""
+        return cls(
+            front.max_body_bytes, Millis(front.read_timeout_ms), Millis(front.idle_timeout_ms)
+        )
+
 
 class HttpServer:
     """Run the connections of one listener."""
--- a/packages/firtrestle/firtrestle/registry_readers.py
+++ b/packages/firtrestle/firtrestle/registry_readers.py
@@ -11,9 +11,10 @@
 from loguru import logger
 
 from firtrestle.clocks import Clock, Millis, sleep
-from firtrestle.hashing import hash32
 from firtrestle.members import Member, Members
+from firtrestle.rendezvous import rank
 
+READERS_KEY = "reader/registry"  # by which daemons are ranked
 LEAST_READERS = 3  # of the fleet, so that two may be lost, or be turned away, at once
 REFRESH_AGE = Millis(500)  # of what is known, from which a reader is asked for news
 LONGEST_AGE = (Millis(1_500), Millis(2_200))  # then a daemon reads itself; below bounds of 3 s
@@ -36,11 +37,11 @@
 class RegistryProgress:
     """Know up to which revision this daemon holds all changes of each part of a registry."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, expected: frozenset[str]) -> None:
         self._clock = clock
+        self._expected = expected
         self._part_by_name: dict[str, _Part] = {}
         self.complete = trio.Event()  # once every expected part is known
-        self.expected: frozenset[str] = frozenset()
 
     def revision(self, name: str) -> int | None:
         """Return the revision to go on from, or None if the part must be read as a whole."""
@@ -75,7 +76,7 @@
 
     def age(self) -> Millis:
         """Return the age of the oldest part; infinite while one is not known."""
-        if not self.complete.is_set() or not self.expected <= self._part_by_name.keys():
+        if not self._expected <= self._part_by_name.keys():
             return Millis(float("inf"))
         return Millis(max(self._age_of(part) for part in self._part_by_name.values()))
 
@@ -110,7 +111,7 @@
         return Millis(0) if part.watched_until > now else Millis(max(0.0, now - part.known_at))
 
     def _note_complete(self) -> None:
-        if self.expected and self.expected <= self._part_by_name.keys():
+        if self._expected <= self._part_by_name.keys():
             self.complete.set()
 
 
@@ -199,8 +200,9 @@
 
 
 def readers_of(live: list[Member]) -> list[Member]:
-    """Return the daemons that read: the first of each data centre by hash, and at least three."""
-    ordered = sorted(live, key=lambda one: (hash32(one.id), one.id))
+    """Return the daemons that read: the first of each data centre by rank, and at least three."""
+    by_id = {one.id: one for one in live}
+    ordered = [by_id[one] for one in rank(READERS_KEY, by_id)]
     first_by_data_centre: dict[str, Member] = {}
     for member in ordered:
         first_by_data_centre.setdefault(member.data_centre, member)
--- a/packages/firtrestle/firtrestle/repeat_budgets.py
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -84,11 +84,6 @@
         number = self._repeats.number(self._clock.now())
         return self._allowed(slack) - self._repeats.between(number - SLICES - 1, number)
 
-    def scarcity(self, slack: float) -> float:
-        """Return 0 for an unused window, 1 for a used one."""
-        allowed = self._allowed(slack)
-        return 1.0 if allowed <= 0 else min(1.0, 1.0 - self.left(slack) / allowed)
-
     def spend(self, slack: float, hedge: bool = False) -> bool:
         """Take the right to one repeat; hedges leave a reserve for retries."""
         reserve = self._allowed(slack) * (1.0 - HEDGE_SHARE) if hedge else 0.0
--- a/packages/firtrestle/firtrestle/replica_subsets.py
+++ b/packages/firtrestle/firtrestle/replica_subsets.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from functools import lru_cache
 
-from firtrestle.hashing import hash32
 from firtrestle.instances import Instance
+from firtrestle.rendezvous import rank
 
 LIMIT_SHARE = 0.8  # of an instance's limit that all daemons use; closing ones still count there
 LEAST_WIDTH = 2  # replicas, so that a hedge or a retry finds another one
@@ -75,8 +75,7 @@
         if plan.width >= len(serving):
             return list(serving)
         ordered = self._ordered(serving, self.fleet.near <= limit * NEAR_SHARE)
-        fit = [one for one in ordered if is_fit(one)]
-        return (fit + [one for one in ordered if one not in fit])[: plan.width]
+        return sorted(ordered, key=lambda one: not is_fit(one))[: plan.width]
 
     def forget_but(self, services: set[str]) -> None:
         """Drop the orders of services that no route names any more."""
@@ -88,10 +87,9 @@
         held = self._ordered_by_service.get(service)
         if held is not None and held[0] is serving and held[1] == near_first:
             return held[2]
-        ordered = sorted(serving, key=lambda one: self._rank(one, near_first))
+        by_id = {one.id: one for one in serving}
+        ordered = [by_id[one] for one in rank(self._daemon_id, by_id)]
+        if near_first:
+            ordered.sort(key=lambda one: one.data_centre != self._data_centre)
         self._ordered_by_service[service] = (serving, near_first, ordered)
         return ordered
-
-    def _rank(self, instance: Instance, near_first: bool) -> tuple[bool, int, str]:
-        is_far = near_first and instance.data_centre != self._data_centre
-        return is_far, hash32(f"{self._daemon_id}/{instance.id}"), instance.id
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import importlib
-import random
 import signal
-import time
 from pathlib import Path
 from typing import Any
 
 import trio
 from loguru import logger
 
-from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, move_on_after, sleep
+from firtrestle.base_daemons import STOP_POLL, BaseDaemon
+from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after, sleep
 from firtrestle.crash_records import CrashRecords
-from firtrestle.events import EventKind, EventLog
+from firtrestle.events import EventKind
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import InstancePools
 from firtrestle.instances import Instances
@@ -36,17 +35,15 @@
 from firtrestle.service_gathers import ServiceTools
 from firtrestle.settings import Settings, load_settings
 from firtrestle.snapshots import ReplicaId
-from firtrestle.spreads import Spreader, SpreadMap
 
 HOUSEKEEPING_PAUSE = Millis(500)
 LATE_PLUGINS_PAUSE = Millis(3_000)  # so that a restarted daemon serves its first callers
 GRACE_MARGIN = Millis(500)  # of the grace, for the process to end by itself
-STOP_POLL = Millis(20)
 FLUSH_PAUSE = Millis(50)  # for the last answers to leave before the process ends
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
-class RouteDaemon:
+class RouteDaemon(BaseDaemon):
     """Build the parts of one daemon over a route source, and run them."""
 
     def __init__(
@@ -56,37 +53,28 @@
         nursery: trio.Nursery,
         settings_file: Path | None = None,
     ) -> None:
-        self.settings = settings
+        super().__init__(settings, kernel, nursery)
         self._settings_file = settings_file
-        self.clock = clock = Clock()
-        self.incarnation = time.time_ns() // 1_000_000
-        self._nursery = nursery
-        self._kernel = kernel
-        rng = random.Random(f"{settings.daemon.id}/{self.incarnation}")
-        self._events = EventLog(
-            settings.daemon.id, self.incarnation, clock, settings.events.capacity
-        )
-        self.items = SpreadMap()
-        self._spreader = Spreader(self.items, settings.peers.fanout, rng, clock)
+        clock, rng = self.clock, self._rng
+        source = kernel.sources.get(settings.routes.source)
+        caller_codec, instance_codec = kernel.codecs[settings.routes.source]
         self._clients = PeerClients(nursery)
-        self._progress = RegistryProgress(clock)
+        self._progress = RegistryProgress(clock, source.parts)
         self._members = Members(
             Members.me_from_config(settings.daemon, self.incarnation),
             settings.peers,
             self._spreader,
             self._clients,
             clock,
-            self._events,
+            self.events,
             rng,
             tuple(PeerAddress.from_text(one) for one in settings.routes.seeds),
             on_synchronized=lambda pong, asked_at: self._progress.adopt(pong.progress, asked_at),
         )
         self._pauses = PauseGuard(
-            clock, self._events, Millis(settings.peers.pause_ms), self._members.refresh
+            clock, self.events, Millis(settings.peers.pause_ms), self._members.refresh
         )
         self._peer_server = PeerServer(self._serve_peer, _refuse_sub_request)
-        source = kernel.sources.get(settings.routes.source)
-        caller_codec, instance_codec = kernel.codecs[settings.routes.source]
         self._replicas = Replicas(clock)
         self._pools = InstancePools(instance_codec, clock, nursery)
         self.instances = Instances(clock, self._forget)
@@ -97,10 +85,8 @@
             clock=clock,
             rng=rng,
             replicas=self._replicas,
-            chooser=kernel.choosers.get(settings.policies.chooser).from_config(
-                settings.targets, clock, rng
-            ),
-            hedger=kernel.hedgers.get(settings.policies.hedger).from_config(clock),
+            chooser=self._build_chooser(),
+            hedger=self._build_hedger(),
             instances=self.instances,
             pools=self._pools,
             budgets=self._budgets,
@@ -117,13 +103,9 @@
         self._source = source.from_config(
             settings, SourceTools(news, self._progress, self._duty, rng)
         )
-        self._progress.expected = self._source.parts
         news.start(self._source.parse_routes)
         front = settings.front
-        bounds = HttpBounds(
-            front.max_body_bytes, Millis(front.read_timeout_ms), Millis(front.idle_timeout_ms)
-        )
-        self._http = HttpServer(self._handle, bounds, front.max_connections)
+        self._http = HttpServer(self._handle, HttpBounds.from_config(front), front.max_connections)
         self._ready_http = HttpServer(self._answer_operator, HttpBounds(), front.max_connections)
 
     def _build_budgets(self) -> RepeatBudgets:
@@ -155,10 +137,6 @@
         start(self._load_late_plugins)
         await self._wait_for_stop(listening)
 
-    async def _accept(self, listener: Any, serve: Any, scope: trio.CancelScope) -> None:
-        with scope:
-            await trio.serve_listeners(serve, [listener], handler_nursery=self._nursery)
-
     async def _keep_house(self) -> None:
         """Drop what is stale, and follow the fleet's size, for ever."""
         while True:
@@ -206,17 +184,10 @@
         configure_logs(settings.logs, settings.daemon)
         logger.bind(level=settings.logs.level, waiting=waiting).info("settings reloaded")
 
-    async def _wait_for_stop(self, listening: trio.CancelScope) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-            async for _ in received:
-                break
-        await self._stop(listening)
-        self._nursery.cancel_scope.cancel()
-
     async def _stop(self, listening: trio.CancelScope) -> None:
         """Be not ready, finish every request, and return within the grace."""
         logger.bind(running=self.state.running).info("stopping")
-        self._events.add(EventKind.STOPPING)
+        self.events.add(EventKind.STOPPING)
         self.state.stopping = True
         self._members.leave()
         self._http.close_after_answers()
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -12,7 +12,6 @@
 from firtrestle import signals
 from firtrestle.answers import Answer
 from firtrestle.clocks import Clock, Millis, move_on_after
-from firtrestle.crash_records import message_fingerprint
 from firtrestle.errors import ErrorKind, Refused
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.part_replies import CallerMessage
@@ -113,13 +112,11 @@
         if time_left <= 0 or not services:
             kind = ErrorKind.DEADLINE_PASSED if services else ErrorKind.NO_TARGET
             return self._refuse(request_id, route.name, arrived_at, Refused(kind))
-        fingerprint = message_fingerprint(incoming.message)
-        held_off = self._tools.crashes.time_left(fingerprint)
-        if held_off is not None:
-            refused = Refused(ErrorKind.QUARANTINED, detail=fingerprint, retry_after=held_off)
-            return self._refuse(request_id, route.name, arrived_at, refused)
         give_up_at = Millis(arrived_at + time_left)
-        routed = RoutedRequest(incoming.message, route, table, arrived_at, give_up_at, fingerprint)
+        routed = RoutedRequest(incoming.message, route, table, arrived_at, give_up_at)
+        held_off = self._held_off(routed)
+        if held_off is not None:
+            return self._refuse(request_id, route.name, arrived_at, held_off)
         gather = ServiceGather(self._tools, routed, services)
         result = await gather.run()
         if isinstance(result, Refused):
@@ -127,6 +124,14 @@
         self._note_answer(request_id, routed, gather, result)
         return self._codec.write(incoming, result)
 
+    def _held_off(self, routed: RoutedRequest) -> Refused | None:
+        """Return the refusal of a request that crashes instances, None for others."""
+        crashes = self._tools.crashes
+        left = None if crashes.is_idle else crashes.time_left(routed.fingerprint)
+        if left is None:
+            return None
+        return Refused(ErrorKind.QUARANTINED, detail=routed.fingerprint, retry_after=left)
+
     def _note_answer(
         self, request_id: str, routed: RoutedRequest, gather: ServiceGather, answer: Answer
     ) -> None:
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -12,7 +12,7 @@
 from firtrestle.answers import Answer, Parts, merge
 from firtrestle.attempts import Attempt, ShardState
 from firtrestle.clocks import Clock, Millis
-from firtrestle.crash_records import CrashRecords
+from firtrestle.crash_records import CrashRecords, message_fingerprint
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.gathers import Gather
 from firtrestle.hedgers import Hedger, Progress
@@ -75,7 +75,11 @@
     table: RouteTable
     arrived_at: Millis
     give_up_at: Millis
-    fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what tells the request from others; worked out only where something broke."""
+        return message_fingerprint(self.message)
 
     @property
     def answer_by(self) -> Millis:
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -9,7 +9,7 @@
 
 import trio
 from firtrestle.clocks import Clock, Millis, sleep
-from firtrestle.crash_records import CrashRecords, message_fingerprint
+from firtrestle.crash_records import CrashRecords
 from firtrestle.instance_pools import PartCall
 from firtrestle.instances import Instance, Instances
 from firtrestle.outcomes import SubOutcome
@@ -96,9 +96,7 @@
         self.numbers += 1
         now = self.tools.clock.now()
         message = CallerMessage(f"r{self.numbers}", "GET", target, "h", (), b"")
-        fingerprint = message_fingerprint(message)
-        give_up_at = Millis(now + time_left)
-        request = RoutedRequest(message, route, self.table, now, give_up_at, fingerprint)
+        request = RoutedRequest(message, route, self.table, now, Millis(now + time_left))
         chosen = services or route.pick_services(self.tools.rng)
         gather = ServiceGather(self.tools, request, chosen)
         return await gather.run(), gather
--- a/packages/firtrestle/tests/test_registry_models.py
+++ b/packages/firtrestle/tests/test_registry_models.py
@@ -37,8 +37,7 @@
         self.applied = []
         self.news = News(self.items, self.instances, self.applied.append)
         self.news.start(lambda text: RouteTable(int(text)) if text else BadRoutes("empty"))
-        self.progress = RegistryProgress(clock)
-        self.progress.expected = frozenset({PART})
+        self.progress = RegistryProgress(clock, frozenset({PART}))
 
     def ping(self, other: "Daemon", asked_at: Millis) -> None:
         pong = other.spreader.serve_ping(Ping("d", list(self.items.digest)))
--- a/packages/firtrestle/tests/test_registry_readers.py
+++ b/packages/firtrestle/tests/test_registry_readers.py
@@ -48,8 +48,7 @@
 
     def __init__(self, me, live, clock):
         self.clock = clock
-        self.progress = RegistryProgress(clock)
-        self.progress.expected = PARTS
+        self.progress = RegistryProgress(clock, PARTS)
         self.members = MembersFake(me, live)
         self.registry_well = None
         self.duty = ReaderDuty(
