Log the busy time of the event loop and the connections opened for each answer

An answer's line said how long the request took, but not whether this daemon worked or waited in that time, nor whether connections had to be opened. A trio instrument now adds up the loop's waits; answers carry the busy time of their duration (busy_ms) and connections_opened, and the metrics the total.

--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -36,6 +36,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     finished: bool = False
     is_sent: bool = False
+    opened_connection: bool = False
 
     def finish(self, reply: InstanceReply) -> None:
         """Deliver the reply, unless the call is finished or cancelled."""
@@ -177,6 +178,7 @@
     async def _open_connection(self, call: InstanceCall) -> HttpConnection | HttpFailure:
         self.open_connections += 1
         self.connections_opened += 1
+        call.opened_connection = True
         opened: HttpConnection | HttpFailure = HttpFailure(False, "not opened")
         try:
             left = Millis(call.deadline - self._clock.now())
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -24,6 +24,11 @@
 PEER_BYTES = Gauge("firtrestle_peer_bytes", "Bytes over peer streams", ["way"], registry=REGISTRY)
 PLATFORM_READS = Gauge("firtrestle_platform_reads", "Reads of the platform", registry=REGISTRY)
 RUNNING = Gauge("firtrestle_running_requests", "Requests being answered", registry=REGISTRY)
+LOOP_BUSY = Gauge(
+    "firtrestle_loop_busy_seconds",
+    "Time in which the event loop ran tasks, since the start",
+    registry=REGISTRY,
+)
 IN_FLIGHT = Gauge("firtrestle_attempts_in_flight", "Attempts without a reply", registry=REGISTRY)
 QUEUED = Gauge(
     "firtrestle_attempts_queued", "Attempts that wait for a connection", registry=REGISTRY
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -20,6 +20,7 @@
 from firtrestle.kernels import Kernel
 from firtrestle.listeners import listen
 from firtrestle.logs import configure_logs
+from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.members import Members
 from firtrestle.messages import Done, Ping, PingFor, Pull
 from firtrestle.pauses import PauseGuard
@@ -81,6 +82,7 @@
         self._budgets = self._build_budgets()
         self._crashes = CrashRecords(self.items, clock)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
+        self._loop = LoopMonitor(clock)
         tools = ServiceTools(
             clock=clock,
             rng=rng,
@@ -92,6 +94,7 @@
             budgets=self._budgets,
             subsets=self._subsets,
             crashes=self._crashes,
+            loop=self._loop,
             data_centre=settings.daemon.data_centre,
         )
         self.state = RouteState(RouteTable())
@@ -124,6 +127,7 @@
         ready = await listen(daemon.address, self.settings.routes.ready_port)
         peers = await listen(daemon.address, daemon.peer_port)
         logger.bind(port=daemon.port, incarnation=self.incarnation).info("started")
+        trio.lowlevel.add_instrument(self._loop)
         start = self._nursery.start_soon
         accept_scope = trio.CancelScope()
         start(self._accept, callers, self._http.serve, accept_scope)
@@ -231,6 +235,7 @@
         metrics.REGISTRY_AGE.set(self._progress.age() / MILLIS_PER_SECOND)
         metrics.PLATFORM_READS.set(self._source.status()["calls"])
         metrics.RUNNING.set(self.state.running)
+        metrics.LOOP_BUSY.set(self._loop.busy_time() / MILLIS_PER_SECOND)
         metrics.IN_FLIGHT.set(sum(replica.in_flight for replica in self._replicas.by_id.values()))
         metrics.QUEUED.set(self._pools.waiting)
         metrics.CONNECTIONS.set(self._pools.open_connections)
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -115,7 +115,9 @@
             kind = ErrorKind.DEADLINE_PASSED if services else ErrorKind.NO_TARGET
             return self._refuse(request_id, route.name, arrived_at, Refused(kind))
         deadline = Millis(arrived_at + time_left)
-        routed = RoutedRequest(request.message, route, table, arrived_at, deadline)
+        routed = RoutedRequest(
+            request.message, route, table, arrived_at, deadline, self._tools.loop.busy_time()
+        )
         quarantined = self._quarantine_refusal(routed)
         if quarantined is not None:
             return self._refuse(request_id, route.name, arrived_at, quarantined)
@@ -150,7 +152,9 @@
             left_out={name: str(reason) for name, reason in summary.reason_by_service.items()},
             sent=summary.sent,
             hedges=summary.hedges,
+            connections_opened=gather.connections_opened,
             latency_ms=round(latency, 1),
+            busy_ms=round(self._tools.loop.busy_time() - routed.busy_at_arrival, 1),
             late=latency > routed.route.latency_target,
         ).info("answered")
         signals.request_answered.send(routed.route.name, answer=answer, latency=latency)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -19,6 +19,7 @@
 from firtrestle.instance_pools import InstanceCall, InstancePools
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
+from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
 from firtrestle.repeat_budgets import RepeatBudgets
@@ -54,6 +55,7 @@
     budgets: RepeatBudgets
     subsets: ReplicaSubsets
     crashes: CrashRecords
+    loop: LoopMonitor
     data_centre: str
     _last_serving_by_service: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
 
@@ -80,6 +82,7 @@
     table: RouteTable
     arrived_at: Millis
     deadline: Millis
+    busy_at_arrival: Millis = Millis(0)  # busy time of the event loop before the request
 
     @property
     def fingerprint(self) -> str:
@@ -122,6 +125,7 @@
         self._parts = Parts(services)
         self._numbers = itertools.count(1)
         self._latencies: list[Millis] = []
+        self._calls: list[InstanceCall] = []
         self.attempt_summary = _AttemptSummary()
 
     async def run(self) -> Answer | Refused:
@@ -143,6 +147,11 @@
         """Return whether the route allows the request to run more than once."""
         return self._route.repeatable
 
+    @property
+    def connections_opened(self) -> int:
+        """Return how many of the attempts had to open a connection."""
+        return sum(call.opened_connection for call in self._calls)
+
     def _failure_answer(self) -> Answer | None:
         """Return an instance's own failure reply, unchanged, if only one service was asked."""
         failure = self.attempt_summary.last_failure
@@ -198,6 +207,7 @@
             self._delivery_callback(attempt),
             fresh=not self._route.repeatable,
         )
+        self._calls.append(call)
         instance = self._tools.instances.get(attempt.replica.id)
         if instance is None:
             call.finish(InstanceReply(SubOutcome.UNREACHABLE, reason="the instance is gone"))
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -14,6 +14,7 @@
 from firtrestle.instance_pools import InstanceCall
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
+from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.outcomes import SubOutcome
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
@@ -166,6 +167,7 @@
                 budgets=budgets,
                 subsets=ReplicaSubsets("d1", "dc"),
                 crashes=CrashRecords(GossipMap(), clock),
+                loop=LoopMonitor(clock),
                 data_centre="dc",
             )
             names = [f"s{number}" for number in range(services)]
