Don't blame instances for replies that this daemon has not read

Cause: a hedge was due a time after its attempt was made, whether or not the daemon had come to send it and to read what had arrived. On half a core the 36 messages of a search take most of its target. Half way through, most replies were in, unread; the daemon hedged up to 29 services at once, opened connections for them, and was slower for it. The attempts it dropped counted as lost races and overdue replies, so that good instances were ejected.

Change: an attempt is awaited from the time its message was written, and hedges and overdue replies are only considered when the event loop has just been idle: then all that arrived was read. Otherwise it looks again 3 ms later.

The test failed before: 16 hedges for replies that were all in after 5 ms.

--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -20,6 +20,7 @@
 
 MAX_HEDGES_PER_SHARD = 2  # the second may go to a replica that was already tried
 HEDGE_RECHECK_INTERVAL = Millis(20)  # after a due hedge could not be sent
+BUSY_RECHECK_INTERVAL = Millis(3)  # after hedges were due while replies may have been unread
 
 
 class BaseGatherTools(Protocol):
@@ -108,6 +109,14 @@
         """Return the time after sending from which a shard is hedged, None for not yet."""
         raise NotImplementedError
 
+    def _awaited_since(self, attempt: Attempt) -> Millis:
+        """Return the time from which an attempt's reply is awaited."""
+        return attempt.sent_at
+
+    def _has_read_all_replies(self) -> bool:
+        """Return whether a shard without a reply waits for its replica, not for this daemon."""
+        return True
+
     def _try_hedge(self, state: ShardState, delay: Millis) -> bool:
         """Hedge a late shard if that is allowed; return False if it is to be checked again."""
         raise NotImplementedError
@@ -181,7 +190,7 @@
 
     def _handle_reply(self, attempt: Attempt, reply: Any) -> None:
         now = self._tools.clock.now()
-        latency = Millis(now - attempt.sent_at)
+        latency = Millis(now - self._awaited_since(attempt))
         outcome = self._checked_outcome(attempt, reply)
         attempt.replica.record_outcome(outcome, latency, reply.queue, now)
         state = self._open_by_shard.get(attempt.shard)
@@ -232,11 +241,14 @@
         if delay is None:
             return
         now = self._tools.clock.now()
+        if not self._has_read_all_replies():
+            self._no_hedge_before = Millis(now + BUSY_RECHECK_INTERVAL)
+            return
         hedgeable = self._hedge_candidates()
-        sends = [state.attempts[-1].sent_at for state in hedgeable]
+        sends = [self._awaited_since(state.attempts[-1]) for state in hedgeable]
         self._oldest_sent_at = min(sends, default=Millis(math.inf))
-        for state in hedgeable:
+        for state, sent_at in zip(hedgeable, sends, strict=True):
             # The same sum as in _next_wake: any other rounding could wake it again and again.
-            is_due = now >= state.attempts[-1].sent_at + delay
+            is_due = now >= sent_at + delay
             if is_due and not self._try_hedge(state, delay):
                 self._no_hedge_before = Millis(now + HEDGE_RECHECK_INTERVAL)
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -35,7 +35,7 @@
     fresh: bool  # needs a new connection, because a message lost on a stale one can't be resent
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     finished: bool = False
-    is_sent: bool = False
+    sent_at: Millis | None = None  # when its message was written
     opened_connection: bool = False
 
     def finish(self, reply: InstanceReply) -> None:
@@ -47,7 +47,7 @@
     def cancel(self) -> None:
         """Cancel the call; if sent, its reply is awaited briefly to keep the connection usable."""
         self.finished = True
-        if self.is_sent:
+        if self.sent_at is not None:
             self.scope.deadline = trio.current_time() + CANCELLED_REPLY_TIMEOUT / MILLIS_PER_SECOND
         else:
             self.scope.cancel()
@@ -121,7 +121,7 @@
     async def _exchange(self, call: InstanceCall, connection: HttpConnection) -> None:
         message = call.message
         max_idle = MAX_IDLE_TIME
-        call.is_sent = True
+        call.sent_at = self._clock.now()
         self._sent_calls.append(call)
         try:
             left = Millis(call.deadline - self._clock.now())
--- a/packages/firtrestle/firtrestle/loop_monitors.py
+++ b/packages/firtrestle/firtrestle/loop_monitors.py
@@ -6,15 +6,22 @@
 
 from firtrestle.clocks import Clock, Millis
 
+MIN_WAIT = Millis(0.5)  # a poll of a busy loop returns sooner
+
 
 class LoopMonitor(trio.abc.Instrument):
-    """Accumulate the time in which the event loop runs tasks."""
+    """Accumulate the time in which the event loop runs tasks.
+
+    `was_idle` says whether the loop had nothing to do just before the tasks that run now, so that
+    no input was left unread.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._started_at = clock.now()
         self._idle = Millis(0)
         self._waiting_since = self._started_at
+        self.was_idle = True
 
     def before_io_wait(self, timeout: float) -> None:
         """Note when the loop starts to wait for input or the next timer."""
@@ -22,7 +29,9 @@
 
     def after_io_wait(self, timeout: float) -> None:
         """Add the wait that has ended to the idle time."""
-        self._idle = Millis(self._idle + self._clock.now() - self._waiting_since)
+        waited = Millis(self._clock.now() - self._waiting_since)
+        self._idle = Millis(self._idle + waited)
+        self.was_idle = waited >= MIN_WAIT
 
     def busy_time(self) -> Millis:
         """Return the time since the start in which the loop did not wait."""
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -125,7 +125,7 @@
         self._parts = Parts(services)
         self._numbers = itertools.count(1)
         self._latencies: list[Millis] = []
-        self._calls: list[InstanceCall] = []
+        self._call_by_attempt: dict[int, InstanceCall] = {}
         self.attempt_summary = _AttemptSummary()
 
     async def run(self) -> Answer | Refused:
@@ -150,7 +150,7 @@
     @property
     def connections_opened(self) -> int:
         """Return how many of the attempts had to open a connection."""
-        return sum(call.opened_connection for call in self._calls)
+        return sum(call.opened_connection for call in self._call_by_attempt.values())
 
     def _failure_answer(self) -> Answer | None:
         """Return an instance's own failure reply, unchanged, if only one service was asked."""
@@ -207,7 +207,7 @@
             self._delivery_callback(attempt),
             fresh=not self._route.repeatable,
         )
-        self._calls.append(call)
+        self._call_by_attempt[attempt.number] = call
         instance = self._tools.instances.get(attempt.replica.id)
         if instance is None:
             call.finish(InstanceReply(SubOutcome.UNREACHABLE, reason="the instance is gone"))
@@ -229,7 +229,7 @@
         if not self._tools.crashes.is_empty:
             self._tools.crashes.record_success(self._request.fingerprint)
         for loser in state.attempts:
-            waited = Millis(now - loser.sent_at)
+            waited = Millis(now - self._awaited_since(loser))
             self._latencies.append(waited)
             if loser.replica.record_lost_race(waited, now):
                 self._log_ejection(loser, waited)
@@ -242,9 +242,11 @@
 
     def _record_overdue(self, state: ShardState) -> None:
         """Record as overdue a shard's attempts that are still open, and old enough, at the end."""
+        if not self._has_read_all_replies():
+            return
         now = self._tools.clock.now()
         for attempt in state.attempts:
-            waited = Millis(now - attempt.sent_at)
+            waited = Millis(now - self._awaited_since(attempt))
             if waited >= self._route.latency_target * MIN_OVERDUE_SHARE:
                 attempt.replica.record_overdue(waited, now)
 
@@ -331,6 +333,13 @@
             return min(self._request.deadline, self._request.answer_by)
         return self._request.deadline
 
+    def _awaited_since(self, attempt: Attempt) -> Millis:
+        call = self._call_by_attempt.get(attempt.number)
+        return attempt.sent_at if call is None or call.sent_at is None else call.sent_at
+
+    def _has_read_all_replies(self) -> bool:
+        return self._tools.loop.was_idle
+
     def _hedge_delay(self) -> Millis | None:
         if not self._route.repeatable or self._route.max_attempts < 2:
             return None
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import random
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import trio
-from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, sleep
 from firtrestle.crash_records import CrashRecords
 from firtrestle.gossip_maps import GossipMap
 from firtrestle.instance_pools import InstanceCall
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
-from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.outcomes import SubOutcome
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
@@ -70,6 +70,7 @@
     nursery: trio.Nursery
     behave: Behave
     sent: list[str] = field(default_factory=list)
+    work_ms: float = 0.0  # processor time that each reply costs
 
     def start(self, instance: Instance, call: InstanceCall, connections: int) -> InstanceCall:
         self.sent.append(instance.id)
@@ -80,9 +81,17 @@
         with call.scope:
             delay, reply = self.behave(instance, nth)
             await sleep(Millis(min(delay, 3_600_000)))
+            time.sleep(self.work_ms / MILLIS_PER_SECOND)
             call.finish(reply)
 
 
+@dataclass
+class FakeLoop:
+    """Replace the monitor of the event loop, which can't measure waits on simulated time."""
+
+    was_idle: bool = True
+
+
 @dataclass
 class RouteHarness:
     """Group one daemon's tools, over services with some instances each."""
@@ -138,8 +147,9 @@
     body: Callable[[RouteHarness], Awaitable[None]],
     services: int = 10,
     replicas: int = 3,
+    real_time: bool = False,
 ) -> None:
-    """Run a test body on a simulated clock of its own."""
+    """Run a test body, on a simulated clock of its own unless it needs real time."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
@@ -167,7 +177,7 @@
                 budgets=budgets,
                 subsets=ReplicaSubsets("d1", "dc"),
                 crashes=CrashRecords(GossipMap(), clock),
-                loop=LoopMonitor(clock),
+                loop=FakeLoop(),
                 data_centre="dc",
             )
             names = [f"s{number}" for number in range(services)]
@@ -180,4 +190,4 @@
             await body(RouteHarness(tools, pools, table))
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=MockClock(autojump_threshold=0))
+    trio.run(main, clock=None if real_time else MockClock(autojump_threshold=0))
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -1,7 +1,11 @@
 import math
 
+import trio
 from firtrestle.answers import Answer
+from firtrestle.clocks import Millis
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.loop_monitors import LoopMonitor
+from firtrestle.replicas import MAX_IN_FLIGHT_LIMIT
 from route_fakes import (
     failed,
     good,
@@ -129,3 +133,39 @@
                 assert sum(1 for id_ in harness.pools.sent if id_.startswith(f"s{shard}-")) <= 2
 
     run_with_harness(lambda instance, nth: (5, lost()), body, services=5)
+
+
+# Guards against hedges and ejections for replies that wait for this daemon's own processor.
+def test_a_busy_daemon_does_not_blame_instances_for_replies_it_has_not_read():
+    """The processor needs 1 ms for each of 36 replies, which all arrive after 5 ms."""
+
+    def behave(instance, nth):
+        return 5, good(instance)
+
+    async def body(harness):
+        harness.tools.loop = loop = LoopMonitor(harness.tools.clock)
+        trio.lowlevel.add_instrument(loop)
+        harness.pools.work_ms = 1.0
+        for _ in range(10):
+            answer, gather = await harness.ask(scatter_route(36, latency_target=Millis(47)))
+            assert isinstance(answer, Answer)
+            assert gather.attempt_summary.hedges == 0
+        records = harness.tools.replicas.by_id.values()
+        assert not any(record.consecutive_losses or record.ejections for record in records)
+        assert all(record.in_flight_limit == MAX_IN_FLIGHT_LIMIT for record in records)
+
+    run_with_harness(behave, body, services=36, real_time=True)
+
+
+def test_instances_that_are_late_while_the_daemon_is_idle_are_hedged():
+    """All instances of one data centre are silent, a third of the replicas of each service."""
+
+    def behave(instance, nth):
+        return (math.inf if instance.id.endswith("-0") else 5), good(instance)
+
+    async def body(harness):
+        for _ in range(10):
+            answer, _ = await harness.ask(scatter_route(10))
+            assert answer.missing == 0
+
+    run_with_harness(behave, body)
