Let no exception on a connection end the daemon

What callers saw: after `GET //[ HTTP/1.1` the daemon was gone; a caller that repeats it fells the fleet, one daemon a request.

Cause: urlsplit reads a host in a target that begins with two slashes and raises ValueError on this one. It left the connection's handler and, as all connections run in the daemon's nursery, cancelled everything else. The same holds for any exception on any listener, in a call to an instance, in a stream to a peer and in what a peer or the store answers.

Change: HTTP connections, streams from and to peers, pings, pushes, calls to instances and items of the store record an unexpected exception (`firtrestle_isolated_faults` by task, the first of each kind and place logged with its trace) and end alone. Cancellation passes; what the program does outside of connections still ends it. Targets are taken apart without a host name: origin form by the first question mark, absolute form by urlsplit; a malformed one, or one whose path begins with two slashes, gets 400. Before, `//a/b` was routed as `/b` but forwarded as `//a/b`.

The tests failed before: the malformed targets with the ValueError above, the exception in one connection by ending the test's nursery.

--- a/packages/firtrestle/firtrestle/frames.py
+++ b/packages/firtrestle/firtrestle/frames.py
@@ -20,7 +20,7 @@
         unpacker.feed(data)
         for raw in unpacker:
             yield decode(raw)
-    except (msgpack.UnpackException, ValueError) as error:
+    except (msgpack.UnpackException, TypeError, ValueError) as error:
         raise BadFrame(str(error)) from error
 
 
--- a/packages/firtrestle/firtrestle/gossip_maps.py
+++ b/packages/firtrestle/firtrestle/gossip_maps.py
@@ -11,6 +11,7 @@
 
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.hashing import hash32
+from firtrestle.isolations import faults
 from firtrestle.messages import Items, Ping, Pong, Pull
 
 BUCKETS = 64
@@ -139,9 +140,12 @@
 
     async def _push(self, peer: Any, push: Pull, call: CallPeer) -> None:
         """Send a push, then the announced items that the peer asks for."""
-        answer = await call(peer, push)
-        if isinstance(answer, Items) and answer.wanted:
-            await call(peer, Pull([], self.items.rows(answer.wanted)))
+        try:
+            answer = await call(peer, push)
+            if isinstance(answer, Items) and answer.wanted:
+                await call(peer, Pull([], self.items.rows(answer.wanted)))
+        except Exception as error:  # the peer's answer was not understood
+            faults.record("push to a peer", error)
 
     def serve_ping(self, ping: Ping) -> Pong:
         """Answer with the stamps of the buckets that differ from the sender's."""
--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -13,6 +13,7 @@
 import trio
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
+from firtrestle.isolations import first_leaf
 
 CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -156,9 +157,9 @@
             is_reusable = has_framing and is_sent and self._start_next_cycle()
             outcome = reply
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as errors:
-            outcome = HttpFailure(sent, f"the connection broke: {_first_leaf(errors)}")
+            outcome = HttpFailure(sent, f"the connection broke: {first_leaf(errors)}")
         except* h11.ProtocolError as errors:
-            outcome = HttpFailure(sent, f"the protocol was broken: {_first_leaf(errors)}")
+            outcome = HttpFailure(sent, f"the protocol was broken: {first_leaf(errors)}")
         finally:
             self.usable = is_reusable
         return outcome
@@ -244,14 +245,6 @@
     return trio.SocketStream(socket)
 
 
-def _first_leaf(errors: BaseExceptionGroup) -> BaseException:
-    """Return the first exception that is not itself a group."""
-    error: BaseException = errors
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
-
-
 async def fetch(
     address: str, method: str, path: str, timeout: Millis, body: bytes = b"", **headers: str
 ) -> HttpReply | HttpFailure:
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -14,6 +14,7 @@
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.isolations import faults
 from firtrestle.problems import problem_response
 from firtrestle.settings import FrontSettings
 
@@ -99,15 +100,17 @@
         self._idle_scopes: set[trio.CancelScope] = set()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection until it ends; raise nothing if the peer breaks it."""
+        """Serve one connection until it ends; no fault in it is raised."""
         if self.open_connections >= self.max_connections:
             await trio.aclose_forcefully(stream)
             return
         self.open_connections += 1
         try:
             await _Connection(self, stream).run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
+        except* Exception as errors:
+            faults.record("HTTP connection", errors)
         finally:
             self.open_connections -= 1
             with trio.CancelScope(shield=True):
@@ -271,16 +274,31 @@
             )
 
 
-def _build_request(head: h11.Request, body: bytes) -> HttpRequest:
-    target = urlsplit(head.target.decode("ascii", "replace"))
-    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-    parameters = dict(parse_qsl(target.query))
+def _build_request(head: h11.Request, body: bytes) -> HttpRequest | Refused:
+    """Build a request, or refuse one whose target is malformed."""
+    target = head.target.decode("latin-1")
+    parts = _split_target(target)
+    if parts is None:
+        return Refused(ErrorKind.BAD_REQUEST, detail="the request target is malformed")
+    path, query = parts
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
     return HttpRequest(
-        head.method.decode(),
-        target.path,
-        parameters,
-        headers,
-        body,
-        head.target.decode("latin-1"),
-        tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers),
+        head.method.decode(), path, dict(parse_qsl(query)), dict(headers), body, target, headers
     )
+
+
+def _split_target(target: str) -> tuple[str, str] | None:
+    """Return the path and query of a request target, None if it is malformed.
+
+    A path that begins with two slashes is refused, as other programs read a host name in it.
+    """
+    if target.startswith(("http://", "https://")):
+        try:
+            parts = urlsplit(target)
+        except ValueError:
+            return None
+        return (parts.path or "/", parts.query) if parts.netloc else None
+    path, _, query = target.partition("?")
+    if target != "*" and (not path.startswith("/") or path.startswith("//")):
+        return None
+    return path, query
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -13,6 +13,7 @@
 from firtrestle.http_clients import HttpConnection, HttpFailure
 from firtrestle.instance_replies import CallerMessage, InstanceCodec, InstanceReply, failed_reply
 from firtrestle.instances import Instance
+from firtrestle.isolations import faults
 from firtrestle.snapshots import ReplicaId
 
 # A loaded instance accepts within about 10 ms; a TCP retransmission takes longer than this timeout.
@@ -111,12 +112,17 @@
         self._idle = kept
 
     async def _run_call(self, call: InstanceCall) -> None:
-        with call.scope:
-            connection = await self._acquire_connection(call)
-            if isinstance(connection, HttpFailure):
-                call.finish(failed_reply(connection))
-                return
-            await self._exchange(call, connection)
+        try:
+            with call.scope:
+                connection = await self._acquire_connection(call)
+                if isinstance(connection, HttpFailure):
+                    call.finish(failed_reply(connection))
+                    return
+                await self._exchange(call, connection)
+        except Exception as error:  # the reply was not understood
+            faults.record("call to an instance", error)
+            failure = HttpFailure(call.sent_at is not None, f"the call failed: {error!r}")
+            call.finish(failed_reply(failure))
 
     async def _exchange(self, call: InstanceCall, connection: HttpConnection) -> None:
         message = call.message
--- a/packages/firtrestle/firtrestle/logs.py
+++ b/packages/firtrestle/firtrestle/logs.py
@@ -6,6 +6,7 @@
 import os
 import sys
 import time
+import traceback
 from collections.abc import Callable
 from typing import TYPE_CHECKING, TextIO
 
@@ -14,7 +15,7 @@
 from firtrestle.settings import DaemonSettings, LogSettings
 
 if TYPE_CHECKING:
-    from loguru import Message
+    from loguru import Message, RecordException
 
 TEXT_FORMAT = (
     "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {extra[daemon]}/{extra[data_centre]} "
@@ -22,6 +23,7 @@
 )
 WARNING_LEVEL = 30  # loguru's number
 DEBUG_LEVEL = 10  # loguru's number
+MAX_TRACE_CHARS = 4_000  # the end of a trace, where the exception was raised
 MAX_BUFFER_BYTES = 262_144  # lines that the reader of a full pipe has not consumed yet
 
 
@@ -112,6 +114,10 @@
     return message.record["level"].no
 
 
+def _trace(exception: RecordException) -> str:
+    return "".join(traceback.format_exception(exception.type, exception.value, exception.traceback))
+
+
 def _as_json(message: Message) -> str:
     record = message.record
     line = {
@@ -123,4 +129,5 @@
     }
     if record["exception"] is not None:
         line["exception"] = str(record["exception"].value)
+        line["trace"] = _trace(record["exception"])[-MAX_TRACE_CHARS:]
     return json.dumps(line)
--- a/packages/firtrestle/firtrestle/members.py
+++ b/packages/firtrestle/firtrestle/members.py
@@ -14,6 +14,7 @@
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.events import EventKind, EventLog
 from firtrestle.gossip_maps import MAX_ITEMS_PER_PULL, Gossiper, Item
+from firtrestle.isolations import faults
 from firtrestle.messages import Done, Ping, PingFor, Pong
 from firtrestle.peers import Cancellable, Deliver, PeerAddress, PeerClients, PeerFailure
 from firtrestle.settings import DaemonSettings, PeerSettings
@@ -219,6 +220,14 @@
         self._put_status(member, MemberStatus.SUSPECT)
 
     async def _ping(self, address: PeerAddress) -> bool:
+        """Ping a daemon, and exchange what differs; return whether it answered."""
+        try:
+            return await self._exchange_state(address)
+        except Exception as error:  # the peer's answer was not understood
+            faults.record("ping of a peer", error)
+            return False
+
+    async def _exchange_state(self, address: PeerAddress) -> bool:
         client = self._clients.get(address)
         timeout = Millis(self._settings.ping_timeout_ms)
         asked_at = self._clock.now()
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -265,9 +265,10 @@
         raise BadFrame("a frame must be a map with a body")
     if raw.get("v") != PROTOCOL_VERSION:
         raise BadFrame(f"protocol version {raw.get('v')!r} is not {PROTOCOL_VERSION}")
-    cls = message_by_tag.get(raw.get("t"))
+    tag = raw.get("t")
+    cls = message_by_tag.get(tag) if isinstance(tag, str) else None
     if cls is None or not isinstance(raw.get("c"), int):
-        raise BadFrame(f"unknown message {raw.get('t')!r}")
+        raise BadFrame(f"unknown message {tag!r}")
     body = raw["b"]
     try:
         return raw["c"], cls(**{name: body[name] for name in _field_names(cls) if name in body})
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -29,6 +29,12 @@
     "Time in which the event loop ran tasks, since the start",
     registry=REGISTRY,
 )
+ISOLATED_FAULTS = Gauge(
+    "firtrestle_isolated_faults",
+    "Connections and calls that an unexpected exception ended",
+    ["task"],
+    registry=REGISTRY,
+)
 IN_FLIGHT = Gauge("firtrestle_attempts_in_flight", "Attempts without a reply", registry=REGISTRY)
 QUEUED = Gauge(
     "firtrestle_attempts_queued", "Attempts that wait for a connection", registry=REGISTRY
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -14,6 +14,7 @@
 from firtrestle.gossip_maps import GossipMap
 from firtrestle.holders import Holders
 from firtrestle.http_servers import HttpRequest, HttpResponse
+from firtrestle.isolations import faults
 from firtrestle.lease_keepers import LeaseKeeper
 from firtrestle.leases import LeaseTable
 from firtrestle.members import Members, MemberStatus
@@ -169,6 +170,8 @@
         received += sum(client.bytes_received for client in clients)
         metrics.PEER_BYTES.labels("sent").set(sent)
         metrics.PEER_BYTES.labels("received").set(received)
+        for task, count in faults.count_by_task.items():
+            metrics.ISOLATED_FAULTS.labels(task).set(count)
         metrics.PLATFORM_READS.set(sum(watcher.reads for watcher in self.watchers))
         return metrics.exposition()
 
--- a/packages/firtrestle/firtrestle/peer_servers.py
+++ b/packages/firtrestle/firtrestle/peer_servers.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from firtrestle.frames import drain, unpack
+from firtrestle.isolations import faults, first_leaf
 from firtrestle.messages import BadFrame, Cancel, Done, SubRequest, encode, new_unpacker
 from firtrestle.peers import CHUNK_BYTES, MAX_QUEUED_FRAMES, Cancellable, Deliver
 
@@ -41,9 +42,9 @@
             pass
         except* BadFrame as errors:
             self.frames_refused += 1
-            logger.warning(
-                "invalid frame from a peer, closing the stream: {}", errors.exceptions[0]
-            )
+            logger.warning("invalid frame from a peer, closing the stream: {}", first_leaf(errors))
+        except* Exception as errors:
+            faults.record("stream of a peer", errors)
         finally:
             for call in list(call_by_id.values()):
                 call.cancel()
--- a/packages/firtrestle/firtrestle/peers.py
+++ b/packages/firtrestle/firtrestle/peers.py
@@ -13,6 +13,7 @@
 
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
 from firtrestle.frames import drain, unpack
+from firtrestle.isolations import faults
 from firtrestle.messages import AreYouThere, BadFrame, Cancel, encode, new_unpacker
 
 CHUNK_BYTES = 65_536
@@ -146,9 +147,11 @@
         try:
             stream = await self._connect(unpacker)
             reason = f"{self.address} did not answer in time"
-        except OSError as error:
+        except Exception as error:
             stream = None
             reason = f"connecting to {self.address} failed: {error}"
+            if not isinstance(error, OSError):
+                faults.record("stream to a peer", error)
         queued, self._queued_frames = self._queued_frames, []
         if stream is None:
             for call_id, _ in queued:
@@ -213,6 +216,8 @@
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, BadFrame) as errors:
             logger.debug("stream to {} ended: {}", self.address, errors.exceptions[0])
+        except* Exception as errors:
+            faults.record("stream to a peer", errors)
         finally:
             receive.close()
             if self._outgoing is send:
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -17,6 +17,7 @@
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import InstancePools
 from firtrestle.instances import Instances
+from firtrestle.isolations import faults
 from firtrestle.kernels import Kernel
 from firtrestle.listeners import listen
 from firtrestle.logs import configure_logs
@@ -235,6 +236,8 @@
         metrics.REGISTRY_AGE.set(self._progress.age() / MILLIS_PER_SECOND)
         metrics.PLATFORM_READS.set(self._source.status()["calls"])
         metrics.RUNNING.set(self.state.running)
+        for task, count in faults.count_by_task.items():
+            metrics.ISOLATED_FAULTS.labels(task).set(count)
         metrics.LOOP_BUSY.set(self._loop.busy_time() / MILLIS_PER_SECOND)
         metrics.IN_FLIGHT.set(sum(replica.in_flight for replica in self._replicas.by_id.values()))
         metrics.QUEUED.set(self._pools.waiting)
--- a/packages/firtrestle/tests/test_http_servers.py
+++ b/packages/firtrestle/tests/test_http_servers.py
@@ -1,6 +1,8 @@
 import trio
+from firtrestle import http_servers
 from firtrestle.clocks import Millis
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
+from firtrestle.isolations import faults
 from trio.testing import memory_stream_pair
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -86,3 +88,28 @@
         server.close_idle()
         assert await client.receive_some(100) == b""
     assert server.open_connections == 0
+
+
+# Guards against targets that raise while they are parsed, which ended the whole daemon.
+async def test_a_malformed_target_gets_400_and_the_server_serves_on(autojump_clock):
+    for target in (b"//[", b"//host/a", b"http://[x/", b"http:///a", b"a", b"?a", b"[::1"):
+        received = await send_and_receive(b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 400"), target
+    assert (await send_and_receive(GET)).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_target_in_absolute_form_is_routed_by_its_path(autojump_clock):
+    handler = RecordingHandler()
+    await send_and_receive(b"GET http://x/a/b?c=1 HTTP/1.1\r\nHost: x\r\n\r\n", handler)
+    assert (handler.requests[0].path, handler.requests[0].parameters) == ("/a/b", {"c": "1"})
+
+
+# Guards against exceptions that leave one connection and cancel all others of the daemon.
+async def test_an_unexpected_exception_ends_one_connection_only(autojump_clock, monkeypatch):
+    counted = faults.count_by_task["HTTP connection"]
+    handler = RecordingHandler()
+    with monkeypatch.context() as patch:
+        patch.setattr(http_servers, "_build_request", None)
+        assert await send_and_receive(GET, handler) == b""
+    assert faults.count_by_task["HTTP connection"] == counted + 1
+    assert (await send_and_receive(GET, handler)).startswith(b"HTTP/1.1 200")
