Parse whole numbers from outside in one place, with bounds

int() raises on more than 4,300 digits and takes signs, blanks, underscores and the digits of other scripts; a searcher could end an exchange with `Keep-Alive: timeout=` and 5,000 digits, and `X-Deadline-Ms: nan` was taken as a deadline. parse_whole takes at most 15 ASCII digits and a bound.

--- a/packages/firtrestle/firtrestle/fronts.py
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -25,6 +25,7 @@
 from firtrestle.shares import Shares
 from firtrestle.snapshots import choose_snapshot
 from firtrestle.submits import Receipt, Submits, check_key
+from firtrestle.whole_numbers import parse_whole
 
 REQUEST_ID_HEADER = "x-request-id"
 TIMEOUT_HEADER = "request-timeout-ms"
@@ -169,10 +170,11 @@
         raw = request.header(TIMEOUT_HEADER)
         if not raw:
             return entry.timeout
-        if not raw.isascii() or not raw.isdigit() or int(raw) < 1:
+        milliseconds = parse_whole(raw)
+        if not milliseconds:
             detail = "Request-Timeout-Ms must be a whole number of milliseconds"
             return Refused(ErrorKind.BAD_REQUEST, detail=detail)
-        return Millis(min(int(raw), self._settings.front.max_timeout_ms))
+        return Millis(min(milliseconds, self._settings.front.max_timeout_ms))
 
     async def _wait_for_pending_suspicion(self, query: Query) -> None:
         """Wait while a daemon retries the same request as a suspect, at most until the deadline."""
--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -14,6 +14,7 @@
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.isolations import first_leaf
+from firtrestle.whole_numbers import parse_whole
 
 CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -49,8 +50,9 @@
         """Return how long the connection may stay idle, a margin less than the server announced."""
         for part in self.headers.get("keep-alive", "").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isascii() and value.isdigit():
-                return Millis(int(value) * MILLIS_PER_SECOND - KEEP_ALIVE_MARGIN)
+            seconds = parse_whole(value) if name.lower() == "timeout" else None
+            if seconds is not None:
+                return Millis(seconds * MILLIS_PER_SECOND - KEEP_ALIVE_MARGIN)
         return DEFAULT_KEEP_ALIVE
 
 
--- a/packages/firtrestle/firtrestle/manifests.py
+++ b/packages/firtrestle/firtrestle/manifests.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from firtrestle.gossip_maps import GossipMap, Item
+from firtrestle.whole_numbers import parse_whole
 
 MANIFEST_PREFIX = "manifest/"
 MAX_VERSIONS_KEPT = 16  # of each collection, newest first
@@ -64,4 +65,5 @@
 
 def _parse(key: str) -> tuple[str, int] | None:
     collection, _, version = key.removeprefix(MANIFEST_PREFIX).rpartition("/")
-    return (collection, int(version)) if version.isdecimal() else None
+    number = parse_whole(version)
+    return (collection, number) if number is not None else None
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -26,6 +26,7 @@
 from firtrestle.retirements import comparisons_of, merged_comparisons
 from firtrestle.shares import Shares
 from firtrestle.voters import Voters
+from firtrestle.whole_numbers import parse_whole
 
 MAX_EVENTS_PER_RESPONSE = 5_000
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -177,12 +178,12 @@
 
     async def _events(self, request: HttpRequest) -> HttpResponse:
         """Return events after a sequence number; wait up to `wait_ms` if there are none yet."""
-        try:
-            after = int(request.parameters.get("after", "0"))
-            wait = min(Millis(int(request.parameters.get("wait_ms", "0"))), MAX_EVENT_WAIT)
-        except ValueError:
+        after = parse_whole(request.parameters.get("after", "0"))
+        wait_ms = parse_whole(request.parameters.get("wait_ms", "0"))
+        if after is None or wait_ms is None:
             detail = "after and wait_ms must be whole numbers"
             return problem_response(Refused(ErrorKind.BAD_REQUEST, detail=detail), "")
+        wait = min(Millis(wait_ms), MAX_EVENT_WAIT)
         waited = Millis(0)
         while not (found := self.events.after(after)) and waited < wait:
             await sleep(EVENT_POLL_INTERVAL)
