Report a YAML value that contains itself as a fault of its line

`daemon: &a {id: *a}` raised RecursionError in settings and catalogue, and aliases that expand exponentially kept the process busy. Both are now one fault with a line; deep nesting is one, too. The tests failed before: the first with the RecursionError, the second did not end within the minute that it was given.

--- a/packages/firtrestle/firtrestle/yaml_documents.py
+++ b/packages/firtrestle/firtrestle/yaml_documents.py
@@ -13,6 +13,7 @@
 Path = tuple[str | int, ...]
 
 MAX_DOCUMENT_BYTES = 1_000_000
+MAX_NODES = 1_000_000  # with aliases expanded; a document of the maximum size holds fewer without
 LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)  # the faster C loader, if available
 
 
@@ -35,19 +36,24 @@
     if len(text.encode()) > MAX_DOCUMENT_BYTES:
         return [Fault(1, "", f"is larger than {MAX_DOCUMENT_BYTES} bytes", "split it")]
     loader = LOADER(text)
+    index = _LineIndex()
     try:
         root = loader.get_single_node()
-        data = loader.construct_document(root) if root is not None else None
+        if root is None:
+            return [Fault(1, "", "is empty")]
+        faults = index.add(root)
+        data = loader.construct_document(root)
+    except _UnusableNode as error:
+        return [error.fault]
     except yaml.YAMLError as error:
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 1
         return [Fault(line, "", f"is not YAML: {getattr(error, 'problem', error)}")]
-    except (ValueError, RecursionError) as error:
+    except RecursionError:
+        return [Fault(1, "", "is nested too deeply")]
+    except ValueError as error:
         return [Fault(1, "", f"is not YAML: {error}")]
-    if root is None:
-        return [Fault(1, "", "is empty")]
-    line_by_path: dict[Path, int] = {}
-    faults = list(_index_lines(root, (), line_by_path))
+    line_by_path = index.line_by_path
     try:
         checked = model.model_validate(data)
     except ValidationError as error:
@@ -56,22 +62,56 @@
     return faults or checked
 
 
-def _index_lines(node: yaml.Node, path: Path, line_by_path: dict[Path, int]):
-    """Record the line of each path, and yield a fault for each duplicate key."""
-    line_by_path.setdefault(path, node.start_mark.line + 1)
-    if isinstance(node, yaml.MappingNode):
+class _UnusableNode(Exception):
+    """Raised on a node that can't be expanded."""
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(str(fault))
+        self.fault = fault
+
+
+class _LineIndex:
+    """Index the line of each path of a document, with aliases expanded."""
+
+    def __init__(self) -> None:
+        self.line_by_path: dict[Path, int] = {}
+        self._nodes = 0
+        self._ancestors: set[int] = set()
+
+    def add(self, node: yaml.Node, path: Path = ()) -> list[Fault]:
+        """Record the lines below a node, and return a fault for each duplicate key.
+
+        Raise _UnusableNode if a node contains itself, or if aliases expand to too many nodes.
+        """
+        line = node.start_mark.line + 1
+        self._nodes += 1
+        if id(node) in self._ancestors:
+            raise _UnusableNode(Fault(line, _dotted(path), "contains itself", "remove the alias"))
+        if self._nodes > MAX_NODES:
+            raise _UnusableNode(Fault(line, _dotted(path), "aliases expand to too many values"))
+        self.line_by_path.setdefault(path, line)
+        self._ancestors.add(id(node))
+        faults: list[Fault] = []
+        if isinstance(node, yaml.MappingNode):
+            faults = self._add_mapping(node, path)
+        elif isinstance(node, yaml.SequenceNode):
+            for index, value in enumerate(node.value):
+                faults += self.add(value, (*path, index))
+        self._ancestors.discard(id(node))
+        return faults
+
+    def _add_mapping(self, node: yaml.MappingNode, path: Path) -> list[Fault]:
+        faults: list[Fault] = []
         seen: set[str] = set()
         for key, value in node.value:
             inner_path = (*path, str(key.value))
             line = key.start_mark.line + 1
             if str(key.value) in seen:
-                yield Fault(line, _dotted(inner_path), "stands twice", "remove one")
+                faults.append(Fault(line, _dotted(inner_path), "stands twice", "remove one"))
             seen.add(str(key.value))
-            line_by_path[inner_path] = line
-            yield from _index_lines(value, inner_path, line_by_path)
-    if isinstance(node, yaml.SequenceNode):
-        for index, value in enumerate(node.value):
-            yield from _index_lines(value, (*path, index), line_by_path)
+            self.line_by_path[inner_path] = line
+            faults += self.add(value, inner_path)
+        return faults
 
 
 def _to_fault(detail: Any, line_by_path: dict[Path, int], model: type[BaseModel]) -> Fault:
