Don't count a broken reply on a left-over connection as a second crash

What callers saw: now and then a harmless query refused as quarantined, after another one had crashed a target.

Cause: suspects run one at a time, so that a crash identifies its cause. When the first crashed the target, the holder sent the next one over a connection kept from before, not yet seen closed. Its broken reply counted as a crash by the second query, and with the query's first crash quarantined it.

Change: a broken reply drops the target's idle connections, and one to a call that was written after a known crash, over a connection from before it, is an unreachable target. Calls that were in flight at the crash are suspects as before.

The unit test failed before ('died' instead of 'unreachable').

--- a/packages/firtrestle/firtrestle/target_pools.py
+++ b/packages/firtrestle/firtrestle/target_pools.py
@@ -73,6 +73,8 @@
         self._clock = clock
         self._nursery = nursery
         self._idle: list[HttpConnection] = []
+        self._opened_at_by_connection: dict[HttpConnection, Millis] = {}
+        self._crashed_at: Millis | None = None  # when the last exchange broke off
         self._queue: list[tuple[int, int, TargetCall]] = []
         self._sequence = itertools.count()
         self._service_times: deque[Millis] = deque(maxlen=SERVICE_TIME_SAMPLES)
@@ -287,6 +289,8 @@
             with move_on_after(Millis(budget + self._settings.cancel_grace_ms)):
                 reply = read_reply(call.sub, await self._send(call.sub, connection, budget))
                 reply.queue = len(self._queue)
+                if reply.outcome == SubOutcome.DIED:
+                    self._handle_broken_reply(reply, connection, now)
                 if reply.outcome == SubOutcome.DEADLINE and budget < time_left:
                     reply.reason = "it ran longer than longest_run_ms"
                 if reply.outcome == SubOutcome.BAD_REPLY:
@@ -296,6 +300,23 @@
         finally:
             self._release_connection(connection)
 
+    def _handle_broken_reply(
+        self, reply: SubReply, connection: HttpConnection, sent_at: Millis
+    ) -> None:
+        """Note a crash of the target, unless the crash was known when the call was sent.
+
+        A call sent after a crash over a connection from before it reached no target.
+        """
+        opened_at = self._opened_at_by_connection.get(connection, sent_at)
+        if self._crashed_at is not None and opened_at <= self._crashed_at < sent_at:
+            reply.outcome = SubOutcome.UNREACHABLE
+            reply.reason = "the connection was left from before the target's crash"
+            return
+        self._crashed_at = self._clock.now()
+        idle, self._idle = self._idle, []
+        for left_over in idle:
+            self._nursery.start_soon(self._close_connection, left_over)
+
     def _empty_reply_to(
         self, call: TargetCall, outcome: SubOutcome, reason: str = "", sent: bool = False
     ) -> SubReply:
@@ -355,6 +376,8 @@
         finally:
             if isinstance(opened, HttpFailure):
                 self.open_connections -= 1
+            else:
+                self._opened_at_by_connection[opened] = self._clock.now()
         return opened
 
     def _release_connection(self, connection: HttpConnection) -> None:
@@ -367,6 +390,7 @@
         try:
             await connection.close()
         finally:
+            self._opened_at_by_connection.pop(connection, None)
             self.open_connections -= 1
 
 
--- a/packages/firtrestle/tests/test_target_pools.py
+++ b/packages/firtrestle/tests/test_target_pools.py
@@ -24,8 +24,11 @@
         self.deadlines: list[float] = []
         self.release = trio.Event()
         self.reply_overrides: dict = {}
+        self.crashes = False
 
-    async def handle(self, request: HttpRequest) -> HttpResponse:
+    async def handle(self, request: HttpRequest) -> HttpResponse | None:
+        if self.crashes:
+            return None
         call = json.loads(request.body)
         if request.path == "/cancel":
             self.cancelled.append(call["attempt"])
@@ -248,3 +251,26 @@
         await wait_until(lambda: target.running == 1)
         assert 0 < target.deadlines[0] <= 900
         nursery.cancel_scope.cancel()
+
+
+# Guards against a harmless query that is blamed for a crash on a connection left from before it.
+async def test_a_broken_reply_on_a_connection_from_before_a_crash_is_no_second_crash():
+    target, replies = Target(), []
+    target.release.set()
+    async with trio.open_nursery() as nursery:
+        pool = await open_pool(target, nursery, slots=1)
+        await pool.open_idle_connections()
+        kept = pool._idle.pop(0)  # another call has it already
+        target.crashes = True
+        pool.start(sub_request(1, suspect=True), replies.append)
+        await wait_until(lambda: len(replies) == 1)
+        assert replies[0].outcome == "died"
+        assert pool._idle == []
+        pool._idle.append(kept)
+        pool.start(sub_request(2, suspect=True), replies.append)
+        await wait_until(lambda: len(replies) == 2)
+        assert (replies[1].outcome, replies[1].sent) == ("unreachable", True)
+        pool.start(sub_request(3, suspect=True), replies.append)
+        await wait_until(lambda: len(replies) == 3)
+        assert replies[2].outcome == "died"
+        nursery.cancel_scope.cancel()
