--- a/packages/firtrestle-client/firtrestle_client/timelines.py
+++ b/packages/firtrestle-client/firtrestle_client/timelines.py
@@ -27,32 +27,28 @@
         """Return the events recorded since the last call, ordered by time.
 
         Without new events, each daemon holds its reply for up to `wait_ms` (long polling). Further
-        pages are then fetched without waiting. With a `request_id`, one page is fetched from each
-        daemon per call.
+        pages are then fetched without waiting.
         """
         events: list[Event] = []
         pending = list(self._after_by_address)
         while pending:
-            pages = [await self._fetch_page(address, request_id, wait_ms) for address in pending]
-            pending = []
-            for address, page in pages:
-                events += page
-                if page and not request_id:
-                    pending.append(address)
+            before = dict(self._after_by_address)
+            for address in pending:
+                events += await self._fetch_page(address, request_id, wait_ms)
+            # A page may hold no event of the request although later ones do.
+            pending = [a for a in pending if self._after_by_address[a] > before[a]]
             wait_ms = 0
         return merge(events)
 
-    async def _fetch_page(
-        self, address: str, request_id: str, wait_ms: int
-    ) -> tuple[str, list[Event]]:
+    async def _fetch_page(self, address: str, request_id: str, wait_ms: int) -> list[Event]:
         after = self._after_by_address[address]
         path = f"/-/events?after={after}&wait_ms={wait_ms}&request_id={request_id}"
         (answer,) = await fetch_json_from_all([address], path)
         if answer.value is None:
             self.failure_by_address[address] = answer.failure
-            return address, []
+            return []
         self._after_by_address[address] = answer.value["last"]
-        return address, [Event.from_dict(raw) for raw in answer.value["events"]]
+        return [Event.from_dict(raw) for raw in answer.value["events"]]
 
 
 def event_lines(events: Iterable[Event]) -> Iterable[str]:
