Settle a claim whose votes or request end with an exception

The claim's record stayed claimed: the key was answered as in progress for ever, and as the removal of expired records stops at a claimed one, all records after it were kept. Votes that fail give the key back, a request that fails is unknown.

--- a/packages/firtrestle/firtrestle/claims.py
+++ b/packages/firtrestle/firtrestle/claims.py
@@ -170,9 +170,12 @@
         owner = f"{self._daemon}#{next(self._claim_numbers)}"
         self._add_record(owner, key, fingerprint)
         with trio.CancelScope(shield=True):
-            answer = await self._gather_votes(Claim(key, owner, fingerprint))
-            if not isinstance(answer, Claimed):
-                await self.settle(Claimed(key, owner), KeyState.RELEASED, {})
+            answer: Claimed | HeldByEarlierClaim | InDoubt = InDoubt("the votes were not counted")
+            try:
+                answer = await self._gather_votes(Claim(key, owner, fingerprint))
+            finally:
+                if not isinstance(answer, Claimed):
+                    await self.settle(Claimed(key, owner), KeyState.RELEASED, {})
         return answer
 
     async def settle(self, claimed: Claimed, state: KeyState, outcome: dict[str, Any]) -> None:
--- a/packages/firtrestle/firtrestle/submits.py
+++ b/packages/firtrestle/firtrestle/submits.py
@@ -68,7 +68,11 @@
                 events.add(EventKind.KEY_DENIED, query.request_id, reason=str(claimed.state))
                 return _answer_claimed_before(query, claimed)
             events.add(EventKind.KEY_CLAIMED, query.request_id, key=query.key)
-            return await self._run_claimed(query, snapshot, claimed)
+            try:
+                return await self._run_claimed(query, snapshot, claimed)
+            except Exception:
+                await self._claims.settle(claimed, KeyState.UNKNOWN, {})
+                raise
 
     async def _run_claimed(
         self, query: Query, snapshot: Snapshot, claimed: Claimed
--- a/packages/firtrestle/tests/test_claims.py
+++ b/packages/firtrestle/tests/test_claims.py
@@ -1,6 +1,7 @@
 import random
 from dataclasses import dataclass, field
 
+import pytest
 import trio
 from firtrestle.claims import Claimed, Claims, HeldByEarlierClaim, InDoubt, KeyState, KeyTable
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
@@ -277,3 +278,24 @@
                 assert isinstance(answer, InDoubt) or answer.state is KeyState.UNKNOWN
 
     run(body)
+
+
+# Guards against records that stay claimed for ever, and with them all that expired after them.
+async def test_an_exception_during_the_votes_gives_the_key_back(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(random.Random(1), nursery)
+        await start(fleet, ["d1"], nursery)
+        node = fleet.by_id["d1"]
+        await sleep(Millis(1_000))  # a daemon grants only keys that are younger than itself
+        key = new_key(fleet.clock.wall(), 1)
+        node.claims._call = fail
+        with pytest.raises(ExceptionGroup):
+            await node.claims.claim(key, "f")
+        node.claims._call = node.call
+        assert isinstance(await node.claims.claim(key, "f"), Claimed)
+        nursery.cancel_scope.cancel()
+
+
+async def fail(receiver: str, value) -> None:
+    if isinstance(value, Claim):
+        raise RuntimeError("the call failed")
