Give the lack of a free connection a type of its own

Holders recognised it by the word "free" in the failure's text, so that another wording would have counted probes as failed and targets as down. The test is on the type, which did not exist before.

--- a/packages/firtrestle/firtrestle/holders.py
+++ b/packages/firtrestle/firtrestle/holders.py
@@ -11,7 +11,7 @@
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
 from firtrestle.events import EventKind, EventLog
 from firtrestle.gossip_maps import GossipMap, Item
-from firtrestle.http_clients import HttpFailure, HttpReply
+from firtrestle.http_clients import HttpFailure, HttpReply, NoFreeConnection
 from firtrestle.lease_keepers import LeaseKeeper
 from firtrestle.leases import TargetLease
 from firtrestle.manifests import Manifests
@@ -227,8 +227,8 @@
                     held.probe_now = trio.Event()
 
     def _apply_probe_result(self, held: _HeldTarget, reply: HttpReply | HttpFailure) -> None:
-        if isinstance(reply, HttpFailure) and not reply.sent and "free" in reply.reason:
-            return  # no connection was free, which says nothing about the target
+        if isinstance(reply, NoFreeConnection):
+            return  # it says nothing about the target
         report = None
         if isinstance(reply, HttpReply) and reply.status == 200:
             status = read_status(held.pool.vm.id, reply.json())
--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -64,6 +64,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class NoFreeConnection(HttpFailure):
+    """Represent an exchange that didn't start as all connections allowed here are in use."""
+
+
 class RequestTemplate:
     """Validate the headers of a request once, for copies to many servers.
 
--- a/packages/firtrestle/firtrestle/target_pools.py
+++ b/packages/firtrestle/firtrestle/target_pools.py
@@ -12,7 +12,7 @@
 import trio
 
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
-from firtrestle.http_clients import HttpConnection, HttpFailure, HttpReply
+from firtrestle.http_clients import HttpConnection, HttpFailure, HttpReply, NoFreeConnection
 from firtrestle.leases import LOTS_PER_TARGET, TargetLease
 from firtrestle.messages import SubReply, SubRequest
 from firtrestle.outcomes import SubOutcome
@@ -365,7 +365,7 @@
             self._nursery.start_soon(self._close_connection, connection)
         limit = self.report.connection_limit if self.report else 2
         if for_control and self.open_connections >= min(limit, self.connection_share + 1):
-            return HttpFailure(False, "no connection is free")
+            return NoFreeConnection(False, "no connection is free")
         return await self._open_connection()
 
     async def _open_connection(self) -> HttpConnection | HttpFailure:
--- a/packages/firtrestle/tests/test_target_pools.py
+++ b/packages/firtrestle/tests/test_target_pools.py
@@ -2,9 +2,11 @@
 
 import json
 import math
+from dataclasses import replace
 
 import trio
 from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.http_clients import HttpFailure, NoFreeConnection
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.leases import LOTS_PER_TARGET, Lease, TargetLease
 from firtrestle.messages import SubReply, SubRequest
@@ -274,3 +276,18 @@
         await wait_until(lambda: len(replies) == 3)
         assert replies[2].outcome == "died"
         nursery.cancel_scope.cancel()
+
+
+# Guards against a probe that counts as failed because all connections are in use.
+async def test_a_probe_without_a_free_connection_is_told_apart_from_a_failed_one():
+    target = Target()
+    async with trio.open_nursery() as nursery:
+        pool = await open_pool(target, nursery, slots=2, limit=2)
+        pool.open_connections = 2
+        assert isinstance(await pool.probe(), NoFreeConnection)
+        pool.open_connections = 0
+        pool.vm = replace(pool.vm, port=1)
+        failure = await pool.probe()
+        assert isinstance(failure, HttpFailure)
+        assert not isinstance(failure, NoFreeConnection)
+        nursery.cancel_scope.cancel()
