--- a/packages/firtrestle-standins/firtrestle_standins/balancers.py
+++ b/packages/firtrestle-standins/firtrestle_standins/balancers.py
@@ -48,6 +48,3 @@
             self._failures_by_name[name] = 0 if reply.status == 200 else UNHEALTHY_THRESHOLD
         else:
             self._failures_by_name[name] = self._failures_by_name.get(name, 0) + 1
-
-    def _is_healthy(self, name: str) -> bool:
-        return self._failures_by_name.get(name, 0) < UNHEALTHY_THRESHOLD
--- a/packages/firtrestle/firtrestle/errors.py
+++ b/packages/firtrestle/firtrestle/errors.py
@@ -33,7 +33,6 @@
     NO_TARGET = "no-target"
     DEADLINE_PASSED = "deadline-passed"
     TOO_LITTLE_COVERAGE = "too-little-coverage"
-    SNAPSHOT_LOST = "snapshot-lost"
     QUARANTINED = "quarantined"
     KEY_MISSING = "key-missing"
     KEY_EXPIRED = "key-expired"
@@ -84,7 +83,6 @@
     ErrorKind.TOO_LITTLE_COVERAGE: AnswerRule(
         503, "Too few documents could be covered", _SHORT_DELAY
     ),
-    ErrorKind.SNAPSHOT_LOST: AnswerRule(503, "The index changed too often to answer", _SHORT_DELAY),
     ErrorKind.QUARANTINED: AnswerRule(503, "The request is quarantined", _LONG_DELAY),
     ErrorKind.KEY_MISSING: AnswerRule(400, "The entry needs a UUIDv7 Idempotency-Key"),
     ErrorKind.KEY_EXPIRED: AnswerRule(409, "The Idempotency-Key is too old"),
--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -23,7 +23,6 @@
     """Pick a replica at random; the baseline."""
 
     name = "random"
-    skips_ejected = False
 
     def choose(self, replicas: Sequence[Replica]) -> Replica | None:
         return self._rng.choice(replicas) if replicas else None
--- a/packages/firtrestle/firtrestle/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/replica_choosers.py
@@ -14,7 +14,6 @@
     """Choose among the replicas of a shard."""
 
     name: str
-    skips_ejected = True
 
     def __init__(self, settings: TargetSettings, clock: Clock, rng: random.Random) -> None:
         self._settings = settings
--- a/packages/firtrestle/tests/test_gathers.py
+++ b/packages/firtrestle/tests/test_gathers.py
@@ -12,7 +12,6 @@
 from trio.testing import MockClock
 
 LATE_MS = 500.0
-FATES = ("ok", "truncated", "shed", "late", "bad")
 
 
 def run_with(behave, body, canaries: int = 1):
