Bound the log lines of faulty handlers

An exception in a handler, of a caller's request or of a peer's call, was logged with its trace each time, past the limit of lines, as errors always pass it: a caller that knows a faulty request could fill the log. They are now recorded like other isolated faults: counted, and logged once for each kind and place.

--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -10,7 +10,6 @@
 
 import h11
 import trio
-from loguru import logger
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
@@ -222,12 +221,8 @@
     async def _call_handler(self, request: HttpRequest) -> HttpResponse | None:
         try:
             return await self._server.handler(request)
-        except Exception:
-            logger.exception(
-                "{} {}: the handler raised an exception; answering with an internal error",
-                request.method,
-                request.path,
-            )
+        except Exception as error:
+            faults.record("HTTP handler", error)
             return problem_response(Refused(ErrorKind.INTERNAL, Ran.UNKNOWN), "")
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
--- a/packages/firtrestle/firtrestle/isolations.py
+++ b/packages/firtrestle/firtrestle/isolations.py
@@ -4,8 +4,6 @@
 
 import traceback
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from typing import Any
 
 from loguru import logger
 
@@ -33,14 +31,6 @@
 faults = FaultRecorder()
 
 
-async def run_isolated(task: str, run: Callable[..., Awaitable[Any]], *args: Any) -> None:
-    """Run a task, and record any exception of it; cancellation passes."""
-    try:
-        await run(*args)
-    except* Exception as errors:
-        faults.record(task, errors)
-
-
 def first_leaf(error: BaseException) -> BaseException:
     """Return the first exception that is not itself a group."""
     while isinstance(error, BaseExceptionGroup):
--- a/packages/firtrestle/firtrestle/peer_servers.py
+++ b/packages/firtrestle/firtrestle/peer_servers.py
@@ -94,8 +94,8 @@
         with scope:
             try:
                 deliver(await self._serve_call(value))
-            except Exception:
-                logger.exception("handling {} from a peer failed", type(value).__name__)
+            except Exception as error:
+                faults.record(f"{type(value).__name__} from a peer", error)
                 deliver(Done(False, "failed"))
 
     async def _write(self, stream: trio.SocketStream, receive: Any) -> None:
--- a/packages/firtrestle/tests/test_http_servers.py
+++ b/packages/firtrestle/tests/test_http_servers.py
@@ -113,3 +113,21 @@
         assert await send_and_receive(GET, handler) == b""
     assert faults.count_by_task["HTTP connection"] == counted + 1
     assert (await send_and_receive(GET, handler)).startswith(b"HTTP/1.1 200")
+
+
+async def test_cancellation_passes_through_a_connection_and_is_no_fault(autojump_clock):
+    counted = faults.count_by_task["HTTP connection"]
+    client, server_side = memory_stream_pair()
+    server = HttpServer(RecordingHandler().handle, HttpBounds())
+    with trio.move_on_after(0.01) as scope:
+        await server.serve(server_side)
+    assert scope.cancelled_caught
+    assert faults.count_by_task["HTTP connection"] == counted
+
+
+async def test_an_exception_in_a_handler_is_answered_and_counted(autojump_clock):
+    counted = faults.count_by_task["HTTP handler"]
+    handler = RecordingHandler()
+    handler.requests = None  # so that the handler raises
+    assert (await send_and_receive(GET, handler, half_close=True)).startswith(b"HTTP/1.1 500")
+    assert faults.count_by_task["HTTP handler"] == counted + 1
