Claim a key again when concurrent claims split the votes

Cause: claims of one key sent through several daemons at the same time each get a voter, none gets the quorum, and each is refused as claimed by another.

Change: a claim that sees unsettled claims of which none has the quorum gives its votes back and claims again after a random pause, at most four times and within the request's deadline.

Measured: the new test failed with 0 of 50 keys granted, now each key is granted exactly once.

--- a/packages/firtrestle/firtrestle/catalogue_daemons.py
+++ b/packages/firtrestle/firtrestle/catalogue_daemons.py
@@ -65,7 +65,7 @@
         self.voters = Voters(daemon_id, me.address, settings.claims, clock, me.data_centre)
         own_name = f"{daemon_id}#{self.incarnation}"
         self._table = KeyTable(self.voters, settings.claims, clock)
-        self._claims = Claims(own_name, self.voters, self._call_voter, settings.claims, clock)
+        self._claims = Claims(own_name, self.voters, self._call_voter, settings.claims, clock, rng)
         targets = settings.targets
         lot_owners = LotOwners(self.voters, clock)
         self._leases = LeaseTable(self.voters, lot_owners, targets, clock)
--- a/packages/firtrestle/firtrestle/claims.py
+++ b/packages/firtrestle/firtrestle/claims.py
@@ -7,20 +7,24 @@
 from __future__ import annotations
 
 import itertools
-from collections import OrderedDict
+import math
+import random
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
 
 import trio
 
-from firtrestle.clocks import Clock, Millis
+from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.keys import issue_time
 from firtrestle.messages import AskKey, Claim, Done, Settle, Vote
 from firtrestle.settings import ClaimSettings
 from firtrestle.voters import CallDaemon, Voters
 
 PURGE_INTERVAL_VOTES = 1_000
+# Longest random pauses between rounds of votes that concurrent claims of one key split.
+CONTENTION_PAUSES = (Millis(50), Millis(100), Millis(200), Millis(400))
 
 
 class KeyState(StrEnum):
@@ -133,6 +137,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class _SplitVotes:
+    """Report that no claim of a key got a quorum, as several were made at the same time."""
+
+    denial: Vote
+
+
 class Claims:
     """Claim keys for this daemon's requests and record how the requests ended.
 
@@ -147,21 +158,42 @@
         call: CallDaemon,
         settings: ClaimSettings,
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         self._daemon = daemon
         self._voters = voters
         self._call = call
         self._settings = settings
         self._clock = clock
+        self._rng = rng
         self._claim_numbers = itertools.count(1)
         self._record_by_owner: OrderedDict[str, KeyRecord] = OrderedDict()
         self._owner_by_key: dict[str, str] = {}
 
-    async def claim(self, key: str, fingerprint: str) -> Claimed | HeldByEarlierClaim | InDoubt:
+    async def claim(
+        self, key: str, fingerprint: str, deadline: Millis = Millis(math.inf)
+    ) -> Claimed | HeldByEarlierClaim | InDoubt:
         """Claim a key by the votes of its group.
 
-        Unless they grant the key, it is released before this returns.
+        Unless they grant the key, it is released before this returns. Claims that split the votes
+        are made again after random pauses, as long as these end before the deadline.
         """
+        answer = await self._claim_once(key, fingerprint)
+        for longest_pause in CONTENTION_PAUSES:
+            if not isinstance(answer, _SplitVotes):
+                return answer
+            pause = Millis(self._rng.uniform(0, longest_pause))
+            if self._clock.now() + pause >= deadline:
+                break
+            await sleep(pause)
+            answer = await self._claim_once(key, fingerprint)
+        if isinstance(answer, _SplitVotes):
+            return await self._resolve_denial(key, answer.denial)
+        return answer
+
+    async def _claim_once(
+        self, key: str, fingerprint: str
+    ) -> Claimed | HeldByEarlierClaim | InDoubt | _SplitVotes:
         if self._voters.established_at is None:
             return InDoubt("the daemon has not met all others yet")
         record = self._record_by_owner.get(self._owner_by_key.get(key, ""))
@@ -170,7 +202,8 @@
         owner = f"{self._daemon}#{next(self._claim_numbers)}"
         self._add_record(owner, key, fingerprint)
         with trio.CancelScope(shield=True):
-            answer: Claimed | HeldByEarlierClaim | InDoubt = InDoubt("the votes were not counted")
+            answer: Claimed | HeldByEarlierClaim | InDoubt | _SplitVotes
+            answer = InDoubt("the votes were not counted")
             try:
                 answer = await self._gather_votes(Claim(key, owner, fingerprint))
             finally:
@@ -216,7 +249,9 @@
                 for daemon_id in self._voters.group(settle.key):
                     nursery.start_soon(self._call, daemon_id, settle)
 
-    async def _gather_votes(self, claim: Claim) -> Claimed | HeldByEarlierClaim | InDoubt:
+    async def _gather_votes(
+        self, claim: Claim
+    ) -> Claimed | HeldByEarlierClaim | InDoubt | _SplitVotes:
         votes: list[Vote] = []
         group = self._voters.group(claim.key)
 
@@ -228,10 +263,12 @@
         async with trio.open_nursery() as nursery:
             for daemon_id in group:
                 nursery.start_soon(request_vote, daemon_id)
+        needed = max([len(group) // 2 + 1, *(vote.quorum for vote in votes)])
         denials = [vote for vote in votes if vote.owner]
+        if len(votes) == len(group) and _are_split(denials, needed):
+            return _SplitVotes(denials[0])
         if denials:
             return await self._resolve_denial(claim.key, denials[0])
-        needed = max([len(group) // 2 + 1, *(vote.quorum for vote in votes)])
         if sum(vote.granted for vote in votes) >= needed:
             return Claimed(claim.key, claim.owner)
         reasons = sorted({vote.reason for vote in votes if vote.reason})
@@ -252,5 +289,12 @@
         return HeldByEarlierClaim(vote.owner, vote.fingerprint, state, answer.outcome)
 
 
+def _are_split(denials: list[Vote], quorum: int) -> bool:
+    """Return whether a key is held by unsettled claims of which none has a quorum."""
+    votes_by_owner = Counter(vote.owner for vote in denials)
+    are_unsettled = all(vote.state == KeyState.CLAIMED for vote in denials)
+    return bool(denials) and are_unsettled and max(votes_by_owner.values()) < quorum
+
+
 def _held_by_earlier_claim(record: KeyRecord) -> HeldByEarlierClaim:
     return HeldByEarlierClaim(record.owner, record.fingerprint, record.state, record.outcome)
--- a/packages/firtrestle/firtrestle/submits.py
+++ b/packages/firtrestle/firtrestle/submits.py
@@ -59,7 +59,7 @@
     async def run(self, query: Query, snapshot: Snapshot) -> Receipt | Refused:
         """Run a request whose key was checked, to its end even if the caller disconnects."""
         with trio.CancelScope(shield=True):
-            claimed = await self._claims.claim(query.key, query.fingerprint)
+            claimed = await self._claims.claim(query.key, query.fingerprint, query.deadline)
             events = self._tools.events
             if isinstance(claimed, InDoubt):
                 events.add(EventKind.KEY_DENIED, query.request_id, reason=claimed.reason)
--- a/packages/firtrestle/tests/test_claims.py
+++ b/packages/firtrestle/tests/test_claims.py
@@ -93,7 +93,9 @@
         self.voters = Voters(self.name, PeerAddress(self.name, 1), SETTINGS, clock)
         self.table = KeyTable(self.voters, SETTINGS, clock)
         incarnation = round(clock.wall())
-        self.claims = Claims(f"{self.name}#{incarnation}", self.voters, self.call, SETTINGS, clock)
+        name = f"{self.name}#{incarnation}"
+        rng = self.fleet.rng
+        self.claims = Claims(name, self.voters, self.call, SETTINGS, clock, rng)
 
     async def call(self, receiver: str, value):
         if receiver == self.name:
@@ -299,3 +301,25 @@
 async def fail(receiver: str, value) -> None:
     if isinstance(value, Claim):
         raise RuntimeError("the call failed")
+
+
+def test_one_of_several_concurrent_claims_of_a_key_is_granted():
+    async def body(seed: int) -> int:
+        """Return how many of four daemons' claims of one key are granted."""
+        granted: list[str] = []
+
+        async def claim(node: Node, key: str) -> None:
+            if isinstance(await node.claims.claim(key, "f"), Claimed):
+                granted.append(node.name)
+
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(random.Random(seed), nursery)
+            await start(fleet, [f"d{n}" for n in range(5)], nursery)
+            await sleep(Millis(300))
+            key = new_key(fleet.clock.wall(), seed)
+            async with trio.open_nursery() as claiming:
+                for name in ("d0", "d1", "d2", "d3"):
+                    claiming.start_soon(claim, fleet.by_id[name], key)
+        return len(granted)
+
+    assert [run(body, seed) for seed in range(50)] == [1] * 50
--- a/packages/firtrestle/tests/test_submits.py
+++ b/packages/firtrestle/tests/test_submits.py
@@ -13,7 +13,7 @@
     def __init__(self) -> None:
         self.settled: list[KeyState] = []
 
-    async def claim(self, key: str, fingerprint: str) -> Claimed:
+    async def claim(self, key: str, fingerprint: str, deadline: Millis) -> Claimed:
         return Claimed(key, "d1#1")
 
     async def settle(self, claimed: Claimed, state: KeyState, outcome: dict) -> None:
