Obey what instances say of themselves in replies: that they leave, and when to come back

Cause: a reply's Server-Leaving was ignored, so an instance that announced its departure got work until the store said so, or for ever if the store still named it ready. A 503's Retry-After was ignored as well; the next request, hedge or retry went there at once. Calls that waited for a connection to an instance were sent also after it was gone.

Choosing, hedging, retrying, queued calls and replies that are no longer awaited respect both. A service that has only leaving instances uses them for half of the drain time. A gather that lacks usable instances of too many shards is refused before anything is sent, so that 'not run' is true, with the time at which enough pauses end.

Ruled out: telling peers of pauses, as they answer one daemon's load; taking a peer's word on departures as binding, as it could empty a service.

--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -9,11 +9,19 @@
 import h11
 import trio
 
+from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis
 from firtrestle.http_clients import HttpConnection, HttpFailure
-from firtrestle.instance_replies import CallerMessage, InstanceCodec, InstanceReply, failed_reply
+from firtrestle.instance_replies import (
+    CallerMessage,
+    InstanceCodec,
+    InstanceReply,
+    failed_reply,
+    unsent_reply,
+)
 from firtrestle.instances import Instance
 from firtrestle.isolations import faults
+from firtrestle.outcomes import SubOutcome
 from firtrestle.snapshots import ReplicaId
 
 # A loaded instance accepts within about 10 ms; a TCP retransmission takes longer than this timeout.
@@ -24,6 +32,12 @@
 CANCELLED_REPLY_TIMEOUT = Millis(150)
 
 DeliverReply = Callable[[InstanceReply], None]
+# Gets each reply with its message, also one that is no longer awaited.
+ObserveReply = Callable[[Instance, CallerMessage, InstanceReply], None]
+
+
+_GONE = unsent_reply(SubOutcome.DRAINING, "the instance is gone")
+_PAUSED = unsent_reply(SubOutcome.SHED, "the instance asked for a pause")
 
 
 @dataclass(slots=True, eq=False)
@@ -65,21 +79,40 @@
     max_idle: Millis
 
 
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """Represent a call that waits for a connection, until one is free or the call is refused."""
+
+    woken: trio.Event = field(default_factory=trio.Event)
+    refusal: InstanceReply | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PoolTools:
+    """Group what the pools of all instances share."""
+
+    codec: InstanceCodec
+    clock: Clock
+    nursery: trio.Nursery
+    backoffs: Backoffs
+    observe: ObserveReply
+
+
 class InstancePool:
     """Pool the connections to one instance, up to `limit`."""
 
-    def __init__(
-        self, instance: Instance, codec: InstanceCodec, clock: Clock, nursery: trio.Nursery
-    ) -> None:
+    def __init__(self, instance: Instance, tools: PoolTools) -> None:
         self.instance = instance
         self.limit = 1
         self.open_connections = 0
         self.connections_opened = 0
-        self._codec = codec
-        self._clock = clock
-        self._nursery = nursery
+        self._codec = tools.codec
+        self._clock = tools.clock
+        self._nursery = tools.nursery
+        self._backoffs = tools.backoffs
+        self._observe = tools.observe
         self._idle: list[_IdleConnection] = []
-        self._waiters: deque[trio.Event] = deque()
+        self._waiters: deque[_Waiter] = deque()
         self._sent_calls: list[InstanceCall] = []
         self._closed = False
 
@@ -93,9 +126,17 @@
         """Return the number of calls that wait for a connection."""
         return len(self._waiters)
 
+    def refuse_waiting(self, refusal: InstanceReply) -> None:
+        """Answer the calls that wait for a connection, none of which was sent."""
+        for waiter in self._waiters:
+            waiter.refusal = refusal
+            waiter.woken.set()
+        self._waiters.clear()
+
     def close(self) -> None:
-        """Close idle connections now and busy ones after their calls."""
+        """Refuse waiting calls, close idle connections, and close busy ones after their calls."""
         self._closed = True
+        self.refuse_waiting(_GONE)
         for idle in self._idle:
             self._nursery.start_soon(self._close_connection, idle.connection)
         self._idle.clear()
@@ -115,8 +156,8 @@
         try:
             with call.scope:
                 connection = await self._acquire_connection(call)
-                if isinstance(connection, HttpFailure):
-                    call.finish(failed_reply(connection))
+                if isinstance(connection, InstanceReply):
+                    call.finish(connection)
                     return
                 await self._exchange(call, connection)
         except Exception as error:  # the reply was not understood
@@ -127,6 +168,11 @@
     async def _exchange(self, call: InstanceCall, connection: HttpConnection) -> None:
         message = call.message
         max_idle = MAX_IDLE_TIME
+        refusal = self._refusal()
+        if refusal is not None:  # the instance spoke up while the connection was opened
+            call.finish(refusal)
+            self._release_connection(connection, max_idle)
+            return
         call.sent_at = self._clock.now()
         self._sent_calls.append(call)
         try:
@@ -137,6 +183,7 @@
                 call.finish(failed_reply(reply))
                 return
             instance_reply = self._codec.read(message, reply)
+            self._observe(self.instance, message, instance_reply)
             max_idle = min(max_idle, reply.keep_alive())
             if instance_reply.answers_other_request:
                 connection.usable = False
@@ -148,8 +195,17 @@
             self._sent_calls.remove(call)
             self._release_connection(connection, max_idle)
 
-    async def _acquire_connection(self, call: InstanceCall) -> HttpConnection | HttpFailure:
+    def _refusal(self) -> InstanceReply | None:
+        """Return the reply to a call that must not be sent now, None for others."""
+        if self._closed:
+            return _GONE
+        return _PAUSED if self._backoffs.left(self.instance.replica_id) else None
+
+    async def _acquire_connection(self, call: InstanceCall) -> HttpConnection | InstanceReply:
         while True:
+            refusal = self._refusal()
+            if refusal is not None:
+                return refusal
             while self._idle and not call.fresh:
                 idle = self._idle.pop()
                 is_unexpired = self._clock.now() - idle.idle_since < idle.max_idle
@@ -159,9 +215,12 @@
             if call.fresh and self._idle and self.open_connections >= self.limit:
                 await self._close_connection(self._idle.pop(0).connection)
             if self.open_connections < self.limit:
-                return await self._open_connection(call)
+                opened = await self._open_connection(call)
+                return failed_reply(opened) if isinstance(opened, HttpFailure) else opened
             self._abort_cancelled_call()
-            await self._wait_for_connection()
+            refusal = await self._wait_for_connection()
+            if refusal is not None:
+                return refusal
 
     def _abort_cancelled_call(self) -> None:
         """Abort a cancelled call whose reply is still awaited, to free its connection."""
@@ -169,17 +228,19 @@
         if cancelled is not None:
             cancelled.abort()
 
-    async def _wait_for_connection(self) -> None:
-        available = trio.Event()
-        self._waiters.append(available)
+    async def _wait_for_connection(self) -> InstanceReply | None:
+        """Wait until a connection may be free; return a reply if the call is refused instead."""
+        waiter = _Waiter()
+        self._waiters.append(waiter)
         try:
-            await available.wait()
+            await waiter.woken.wait()
         except trio.Cancelled:
-            if available.is_set():
+            if waiter.woken.is_set():
                 self._wake_next_waiter()
             else:
-                self._waiters.remove(available)
+                self._waiters.remove(waiter)
             raise
+        return waiter.refusal
 
     async def _open_connection(self, call: InstanceCall) -> HttpConnection | HttpFailure:
         self.open_connections += 1
@@ -215,23 +276,21 @@
 
     def _wake_next_waiter(self) -> None:
         if self._waiters:
-            self._waiters.popleft().set()
+            self._waiters.popleft().woken.set()
 
 
 class InstancePools:
     """Manage a connection pool for each instance (one start of a registered server)."""
 
-    def __init__(self, codec: InstanceCodec, clock: Clock, nursery: trio.Nursery) -> None:
-        self._codec = codec
-        self._clock = clock
-        self._nursery = nursery
+    def __init__(self, tools: PoolTools) -> None:
+        self._tools = tools
         self._pool_by_id: dict[ReplicaId, InstancePool] = {}
 
     def start(self, instance: Instance, call: InstanceCall, connections: int) -> InstanceCall:
         """Start a call to an instance over at most `connections` connections."""
         pool = self._pool_by_id.get(instance.replica_id)
         if pool is None:
-            pool = InstancePool(instance, self._codec, self._clock, self._nursery)
+            pool = InstancePool(instance, self._tools)
             self._pool_by_id[instance.replica_id] = pool
         pool.limit = connections
         return pool.start(call)
@@ -243,6 +302,12 @@
             if pool is not None:
                 pool.close()
 
+    def refuse_waiting(self, replica_id: ReplicaId, outcome: SubOutcome, reason: str) -> None:
+        """Answer the calls that wait for a connection to an instance, none of which was sent."""
+        pool = self._pool_by_id.get(replica_id)
+        if pool is not None:
+            pool.refuse_waiting(unsent_reply(outcome, reason))
+
     def close_stale(self) -> None:
         """Close stale idle connections in all pools."""
         for pool in self._pool_by_id.values():
--- a/packages/firtrestle/firtrestle/instance_replies.py
+++ b/packages/firtrestle/firtrestle/instance_replies.py
@@ -44,6 +44,8 @@
     may_have_run: bool = False
     answers_other_request: bool = False  # then its connection can no longer be trusted
     reason: str = ""
+    leaving: bool = False  # the instance announced its departure
+    retry_after: Millis | None = None  # how long the instance wants no requests from this daemon
 
 
 class InstanceCodec(Protocol):
@@ -62,3 +64,8 @@
     return InstanceReply(
         outcome, reached=failure.sent, may_have_run=failure.sent, reason=failure.reason
     )
+
+
+def unsent_reply(outcome: SubOutcome, reason: str) -> InstanceReply:
+    """Return the reply that represents a message that was not sent, by this daemon's decision."""
+    return InstanceReply(outcome, reason=reason)
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from firtrestle.clocks import Clock, Millis
+from firtrestle.departures import Departures
 from firtrestle.snapshots import ReplicaId
 
 LAPSE_GRACE = Millis(2_500)  # live instances register again within 2 s after an outage
@@ -55,9 +56,17 @@
 class Instances:
     """Hold the registered instances by id and by service; the highest revision of an id wins."""
 
-    def __init__(self, clock: Clock, on_gone: Callable[[set[ReplicaId]], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        on_gone: Callable[[set[ReplicaId]], None],
+        departures: Departures,
+        on_draining: Callable[[Instance], None] = lambda instance: None,
+    ) -> None:
         self._clock = clock
         self._on_gone = on_gone
+        self._departures = departures
+        self._on_draining = on_draining
         self._record_by_id: dict[str, _Record] = {}
         self._removed_revision_by_id: dict[str, int] = {}
         self._by_service: dict[str, tuple[Instance, ...]] | None = None
@@ -82,6 +91,8 @@
             ).info("instance registered")
         if before is not None and before.instance.born != instance.born:
             self._on_gone({before.instance.replica_id})
+        if instance.draining and (before is None or not before.instance.draining):
+            self._on_draining(instance)
         return True
 
     def remove(self, instance_id: str, revision: int) -> bool:
@@ -124,6 +135,10 @@
             if record.lapsed_at is not None and now - record.lapsed_at >= LAPSE_GRACE:
                 self._drop(instance_id, self._removed_revision_by_id[instance_id])
 
+    def refresh(self) -> None:
+        """Choose the serving instances of each service anew, after a change of departures."""
+        self._by_service = None
+
     def ids(self) -> set[str]:
         """Return the ids of all instances that have not lapsed."""
         return {
@@ -140,19 +155,31 @@
         return record.instance
 
     def serving(self, service: str) -> tuple[Instance, ...]:
-        """Return the instances of a service that may get new work: not draining, not barred."""
+        """Return the instances of a service that may get new work: not draining, not barred.
+
+        Those that announced their departure are returned only if there is no other.
+        """
         if self._by_service is None:
-            grouped: dict[str, list[Instance]] = {}
-            for record in self._record_by_id.values():
-                if not record.instance.draining and not record.barred:
-                    grouped.setdefault(record.instance.service, []).append(record.instance)
-            self._by_service = {name: tuple(instances) for name, instances in grouped.items()}
+            self._by_service = self._group_by_service()
         return self._by_service.get(service, ())
 
     def count(self) -> int:
         """Return the number of instances, including lapsed, draining and barred ones."""
         return len(self._record_by_id)
 
+    def _group_by_service(self) -> dict[str, tuple[Instance, ...]]:
+        staying: dict[str, list[Instance]] = {}
+        leaving: dict[str, list[Instance]] = {}
+        for record in self._record_by_id.values():
+            instance = record.instance
+            if instance.draining or record.barred:
+                continue
+            if not self._departures.is_leaving(instance.replica_id):
+                staying.setdefault(instance.service, []).append(instance)
+            elif self._departures.is_last_resort(instance.replica_id):
+                leaving.setdefault(instance.service, []).append(instance)
+        return {name: tuple(instances) for name, instances in (leaving | staying).items()}
+
     def _last_revision(self, instance_id: str) -> int:
         record = self._record_by_id.get(instance_id)
         removed = self._removed_revision_by_id.get(instance_id, 0)
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -43,6 +43,16 @@
     "firtrestle_instance_connections", "Open connections to instances", registry=REGISTRY
 )
 REPLICAS = Gauge("firtrestle_replicas", "Known replicas by state", ["state"], registry=REGISTRY)
+LEAVING = Gauge(
+    "firtrestle_instances_leaving",
+    "Instances that announced their departure, here or to a peer",
+    registry=REGISTRY,
+)
+HELD_BACK = Gauge(
+    "firtrestle_instances_held_back",
+    "Instances that asked this daemon for a pause that is not over",
+    registry=REGISTRY,
+)
 REPEATS_LEFT = Gauge(
     "firtrestle_repeats_left",
     "Repeats that a window still allows",
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -86,6 +86,10 @@
         self.in_flight_limit = max(MIN_IN_FLIGHT_LIMIT, self.in_flight_limit / 2)
         self.record_lost_race(latency, now)
 
+    def limit_return(self) -> None:
+        """Let the replica's load grow from one request, when it takes requests again."""
+        self.in_flight_limit = MIN_IN_FLIGHT_LIMIT
+
     def observation_weight(self, now: Millis) -> float:
         """Return the weight of what is known: 1 just after an observation, halved per half-life."""
         return 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -10,13 +10,16 @@
 import trio
 from loguru import logger
 
+from firtrestle.backoffs import Backoffs
 from firtrestle.base_daemons import STOP_POLL_INTERVAL, BaseDaemon
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after, sleep
 from firtrestle.crash_records import CrashRecords
+from firtrestle.departures import Departures
 from firtrestle.events import EventKind
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
-from firtrestle.instance_pools import InstancePools
-from firtrestle.instances import Instances
+from firtrestle.instance_pools import InstancePools, PoolTools
+from firtrestle.instance_replies import CallerMessage, InstanceReply
+from firtrestle.instances import Instance, Instances
 from firtrestle.isolations import faults
 from firtrestle.kernels import Kernel
 from firtrestle.listeners import listen
@@ -24,6 +27,7 @@
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.members import Members
 from firtrestle.messages import Done, Ping, PingFor, Pull
+from firtrestle.outcomes import SubOutcome
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import FINISHED, Cancellable, PeerAddress, PeerClients, PeerFailure
@@ -78,8 +82,19 @@
         )
         self._peer_server = PeerServer(self._serve_peer, _refuse_sub_request)
         self._replicas = Replicas(clock)
-        self._pools = InstancePools(instance_codec, clock, nursery)
-        self.instances = Instances(clock, self._remove_replicas)
+        self._backoffs = Backoffs(clock, rng)
+        self._pools = InstancePools(
+            PoolTools(instance_codec, clock, nursery, self._backoffs, self._observe_reply)
+        )
+        self._departures = Departures(
+            self.items,
+            clock,
+            Millis(settings.routes.instance_drain_ms),
+            self._on_departure,
+        )
+        self.instances = Instances(
+            clock, self._remove_replicas, self._departures, self._withdraw_waiting
+        )
         self._budgets = self._build_budgets()
         self._crashes = CrashRecords(self.items, clock)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
@@ -95,6 +110,7 @@
             budgets=self._budgets,
             subsets=self._subsets,
             crashes=self._crashes,
+            backoffs=self._backoffs,
             loop=self._loop,
             data_centre=settings.daemon.data_centre,
         )
@@ -148,6 +164,8 @@
         """Periodically drop expired state and update the fleet size."""
         while True:
             self.instances.expire()
+            self._departures.expire()
+            self._backoffs.expire()
             self._crashes.expire()
             self._pools.close_stale()
             self._update_fleet_size()
@@ -244,6 +262,8 @@
         metrics.CONNECTIONS.set(self._pools.open_connections)
         for state, count in self._replicas.count_by_state().items():
             metrics.REPLICAS.labels(state).set(count)
+        metrics.LEAVING.set(self._departures.count())
+        metrics.HELD_BACK.set(self._backoffs.count())
         for service, repeats_left in self._budgets.remaining_by_service().items():
             metrics.REPEATS_LEFT.labels(service).set(repeats_left)
         return metrics.exposition()
@@ -281,6 +301,38 @@
         self._subsets.retain_only(services)
         logger.bind(version=table.version, before=previous.version).info("desired state in force")
 
+    def _observe_reply(
+        self, instance: Instance, message: CallerMessage, reply: InstanceReply
+    ) -> None:
+        """Take in what an instance says of itself in a reply, also in one no longer awaited."""
+        if reply.leaving:
+            self._departures.record(instance, message.request_id, reply.status)
+        if reply.retry_after:
+            self._backoffs.record(instance, message.request_id, reply.retry_after)
+            if self.instances.get(instance.replica_id) is not None:
+                self._replicas.get(instance.replica_id).limit_return()
+            self._pools.refuse_waiting(
+                instance.replica_id, SubOutcome.SHED, "the instance asked for a pause"
+            )
+
+    def _on_departure(self, replica_id: ReplicaId) -> None:
+        self.instances.refresh()
+        instance = self.instances.get(replica_id)
+        if instance is not None:
+            self._withdraw_waiting(instance)
+
+    def _withdraw_waiting(self, instance: Instance) -> None:
+        """Let the calls that wait for a leaving instance go to another one.
+
+        Without another one they wait on, as long as the instance is a last resort.
+        """
+        serving = self.instances.serving(instance.service)
+        has_other = any(other.id != instance.id for other in serving)
+        if has_other or not self._departures.is_last_resort(instance.replica_id):
+            self._pools.refuse_waiting(
+                instance.replica_id, SubOutcome.DRAINING, "the instance is leaving"
+            )
+
     def _remove_replicas(self, replica_ids: set[ReplicaId]) -> None:
         for replica_id in replica_ids:
             self._crashes.record_instance_lost(replica_id)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -11,6 +12,7 @@
 
 from firtrestle.answers import Answer, Parts, merge
 from firtrestle.attempts import Attempt, ShardState
+from firtrestle.backoffs import NO_PAUSE, Backoffs
 from firtrestle.clocks import Clock, Millis
 from firtrestle.crash_records import CrashRecords, message_fingerprint
 from firtrestle.errors import ErrorKind, Ran, Refused
@@ -42,6 +44,8 @@
 DEFAULT_HEDGE_DELAY_SHARE = 0.3  # share of the latency target, until latencies are known
 MIN_HEDGE_DELAY_SHARE = 0.15  # share of the latency target; shorter waits are noise
 MAX_HEDGE_DELAY_SHARE = 0.5  # share of the latency target; later hedges reply too late
+MAX_RETURN_SPREAD = 1.5  # longest time to come back, as a ratio of the pause that it follows from
+ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
 MIN_CLOSED_SHARDS_SHARE = 0.7  # below it, late replies point to a slow daemon, not slow replicas
 
 
@@ -59,6 +63,7 @@
     budgets: RepeatBudgets
     subsets: ReplicaSubsets
     crashes: CrashRecords
+    backoffs: Backoffs
     loop: LoopMonitor
     data_centre: str
     _last_serving_by_service: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
@@ -133,6 +138,7 @@
         self._latencies: list[Millis] = []
         self._call_by_attempt: dict[int, InstanceCall] = {}
         self.attempt_summary = _AttemptSummary()
+        self._pause_by_service: dict[str, Millis] = {}  # those given up as all instances pause
 
     async def run(self) -> Answer | Refused:
         """Return the merged answer, or a refusal that says whether the request may have run."""
@@ -179,7 +185,39 @@
             kind = ErrorKind.OVERLOADED
         else:
             kind = ErrorKind.NO_TARGET
-        return Refused(kind, ran, detail)
+        return Refused(kind, ran, detail, self._retry_after())
+
+    def _retry_after(self) -> Millis | None:
+        """Return when enough services can be asked again, None if pauses don't decide that."""
+        pauses = sorted(self._pause_by_service.values())
+        least = math.ceil(len(self._services) * self._route.least_coverage - ROUNDING)
+        needed = max(1, least) - (len(self._services) - len(pauses))
+        if needed <= 0:
+            return None
+        spread = self._tools.rng.uniform(1.0, MAX_RETURN_SPREAD)
+        return Millis(pauses[needed - 1] * spread)
+
+    def _pause_of(self, service: str) -> Millis:
+        """Return how long all instances of a service want no requests, 0 if one takes some."""
+        if self._tools.backoffs.is_empty:
+            return NO_PAUSE
+        serving = self._tools.serving(service)
+        return min(
+            (self._tools.backoffs.left(instance.replica_id) for instance in serving),
+            default=NO_PAUSE,
+        )
+
+    def _send_first(self) -> None:
+        """Send to each shard, unless those without a usable instance are too many for an answer.
+
+        Nothing is sent then, so that the refusal may state that the request has not run.
+        """
+        for shard in list(self._open_by_shard):
+            service = self._services[shard]
+            if not self._tools.serving(service) or self._pause_of(service):
+                self._give_up_shard(shard, SubOutcome.NO_REPLICA)
+        if not self._should_stop():
+            super()._send_first()
 
     def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
         service = self._services[shard]
@@ -194,7 +232,9 @@
         now = self._tools.clock.now()
         record = self._tools.replicas.get(instance.replica_id)
         return (
-            not record.is_ejected(now) and record.expected_success(now) >= MIN_SUBSET_SUCCESS_SHARE
+            not record.is_ejected(now)
+            and record.expected_success(now) >= MIN_SUBSET_SUCCESS_SHARE
+            and not self._tools.backoffs.left(instance.replica_id)
         )
 
     def _connection_limit(self, service: str) -> int:
@@ -244,7 +284,7 @@
         self._parts.reply_by_service[self._services[state.number]] = reply
 
     def _has_capacity(self, replica: Replica) -> bool:
-        return replica.has_capacity()
+        return replica.has_capacity() and not self._tools.backoffs.left(replica.id)
 
     def _record_overdue(self, state: ShardState) -> None:
         """Record as overdue a shard's attempts that are still open, and old enough, at the end."""
@@ -282,7 +322,8 @@
             self._tools.instances.bar(attempt.replica.id)
         if not reply.reached:
             state.unreached += 1
-            self._tools.crashes.record_instance_lost(attempt.replica.id)
+            if outcome is SubOutcome.UNREACHABLE:
+                self._tools.crashes.record_instance_lost(attempt.replica.id)
         elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
             self._tools.crashes.record_broken_reply(self._request.fingerprint, attempt.replica.id)
         if reply.stamp and outcome is SubOutcome.REFUSED:
@@ -321,7 +362,12 @@
         return budgets.for_service(self._services[state.number]).spend(budgets.slack, hedge)
 
     def _record_missing(self, shard: int, reason: SubOutcome) -> None:
-        self.attempt_summary.reason_by_service[self._services[shard]] = reason
+        service = self._services[shard]
+        pause = self._pause_of(service)
+        if pause:
+            self._pause_by_service[service] = pause
+            reason = SubOutcome.SHED
+        self.attempt_summary.reason_by_service[service] = reason
 
     def _should_stop(self) -> bool:
         """Return whether the least coverage is out of reach."""
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -140,6 +140,11 @@
     least_fleet_size: int = Field(
         16, ge=1, description="smallest number of daemons that repeat_slack is divided by"
     )
+    instance_drain_ms: int = Field(
+        3_000,
+        ge=100,
+        description="time in which an instance that announced its departure takes requests, ms",
+    )
     watch_ms: int = Field(
         4_000,
         ge=100,
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -9,8 +9,10 @@
 from dataclasses import dataclass, field
 
 import trio
+from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, sleep
 from firtrestle.crash_records import CrashRecords
+from firtrestle.departures import Departures
 from firtrestle.gossip_maps import GossipMap
 from firtrestle.instance_pools import InstanceCall
 from firtrestle.instance_replies import CallerMessage, InstanceReply
@@ -157,7 +159,9 @@
             rng = random.Random(1)
             pools = FakePools(nursery, behave)
             records = Replicas(clock)
-            instances = Instances(clock, records.remove)
+            departures = Departures(GossipMap(), clock, Millis(3_000))
+            instances = Instances(clock, records.remove, departures)
+            backoffs = Backoffs(clock, rng)
             for service in range(services):
                 for copy in range(replicas):
                     name = f"s{service}"
@@ -177,6 +181,7 @@
                 budgets=budgets,
                 subsets=ReplicaSubsets("d1", "dc"),
                 crashes=CrashRecords(GossipMap(), clock),
+                backoffs=backoffs,
                 loop=FakeLoop(),
                 data_centre="dc",
             )
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -1,12 +1,19 @@
 """Test the connection pool of an instance against a scripted server on the loopback."""
 
+import random
 from contextlib import asynccontextmanager
 
 import h11
 import trio
+from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import Clock, Millis
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
-from firtrestle.instance_pools import CANCELLED_REPLY_TIMEOUT, InstanceCall, InstancePools
+from firtrestle.instance_pools import (
+    CANCELLED_REPLY_TIMEOUT,
+    InstanceCall,
+    InstancePools,
+    PoolTools,
+)
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance
 from firtrestle.outcomes import SubOutcome
@@ -32,9 +39,16 @@
         self.gate.set()
         self.served = []
         self.instance = Instance("i", "s", "127.0.0.1", port, "dc", 3, False, 1)
-        self.pools = InstancePools(Codec(), Clock(), nursery)
+        clock = Clock()
+        self.backoffs = Backoffs(clock, random.Random(1))
+        self.observed = []
+        tools = PoolTools(Codec(), clock, nursery, self.backoffs, self.observe)
+        self.pools = InstancePools(tools)
         self.replies = []
 
+    def observe(self, instance, message, reply):
+        self.observed.append(reply)
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         self.served.append(request.path)
         await trio.sleep(self.delay / 1_000)
@@ -128,3 +142,50 @@
             fixture.start(f"/{number}", connections=2)
         await fixture.wait_until(lambda: len(fixture.replies) == 20)
         assert fixture.opened == 2
+
+
+async def test_calls_that_wait_when_an_instance_asks_for_a_pause_are_not_sent():
+    async with pool_fixture() as fixture:
+        fixture.gate = trio.Event()
+        fixture.start("/first")
+        await fixture.wait_until(lambda: fixture.served == ["/first"])
+        for number in range(5):
+            fixture.start(f"/waiting-{number}")
+        await fixture.wait_until(lambda: fixture.pools.waiting == 5)
+        replica_id = fixture.instance.replica_id
+        fixture.backoffs.record(fixture.instance, "r", Millis(60_000))
+        fixture.pools.refuse_waiting(replica_id, SubOutcome.SHED, "paused")
+        await fixture.wait_until(lambda: len(fixture.replies) == 5)
+        fixture.start("/later")
+        fixture.gate.set()
+        await fixture.wait_until(lambda: len(fixture.replies) == 7)
+        assert fixture.served == ["/first"]
+        unsent = [reply for reply in fixture.replies if reply.outcome is SubOutcome.SHED]
+        assert [(reply.reached, reply.may_have_run) for reply in unsent] == [(False, False)] * 6
+
+
+async def test_calls_that_wait_for_an_instance_that_is_gone_are_not_sent():
+    async with pool_fixture() as fixture:
+        fixture.gate = trio.Event()
+        fixture.start("/first")
+        await fixture.wait_until(lambda: fixture.served == ["/first"])
+        fixture.start("/waiting")
+        await fixture.wait_until(lambda: fixture.pools.waiting == 1)
+        fixture.pools.remove({fixture.instance.replica_id})
+        fixture.gate.set()
+        await fixture.wait_until(lambda: len(fixture.replies) == 2)
+        assert fixture.served == ["/first"]
+        assert [reply.outcome for reply in fixture.replies] == [
+            SubOutcome.DRAINING,
+            SubOutcome.OK,
+        ]
+
+
+async def test_a_reply_that_is_no_longer_awaited_is_observed_all_the_same():
+    async with pool_fixture() as fixture:
+        fixture.delay = 30
+        call = fixture.start("/lost")
+        await fixture.wait_until(lambda: fixture.served == ["/lost"])
+        call.cancel()
+        await fixture.wait_until(lambda: len(fixture.observed) == 1)
+        assert fixture.replies == []
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -1,3 +1,6 @@
+from firtrestle.clocks import Millis
+from firtrestle.departures import Departures
+from firtrestle.gossip_maps import GossipMap
 from firtrestle.instances import LAPSE_GRACE, Instance, Instances
 from manual_clocks import ManualClock
 
@@ -5,7 +8,8 @@
 def build():
     gone_ids = set()
     clock = ManualClock()
-    return Instances(clock, gone_ids.update), clock, gone_ids
+    departures = Departures(GossipMap(), clock, Millis(3_000))
+    return Instances(clock, gone_ids.update, departures), clock, gone_ids
 
 
 def instance(name="a", draining=False, born=1):
--- a/packages/firtrestle/tests/test_registry_models.py
+++ b/packages/firtrestle/tests/test_registry_models.py
@@ -7,6 +7,7 @@
 import random
 
 from firtrestle.clocks import Millis
+from firtrestle.departures import Departures
 from firtrestle.gossip_maps import Gossiper, GossipMap
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping
@@ -27,7 +28,8 @@
     def __init__(self, clock, rng) -> None:
         self.items = GossipMap()
         self.gossiper = Gossiper(self.items, 3, rng, clock)
-        self.instances = Instances(clock, lambda gone: None)
+        departures = Departures(GossipMap(), clock, Millis(3_000))
+        self.instances = Instances(clock, lambda gone: None, departures)
         self.applied = []
         self.progress = RegistryProgress(clock, frozenset({PART}))
         self.publisher = SourcePublisher(
--- a/packages/firtrestle/tests/test_route_sources.py
+++ b/packages/firtrestle/tests/test_route_sources.py
@@ -3,6 +3,7 @@
 
 import trio
 from firtrestle.clocks import Clock, Millis
+from firtrestle.departures import Departures
 from firtrestle.gossip_maps import Gossiper, GossipMap
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping
@@ -25,7 +26,8 @@
         clock = Clock()
         self.items = GossipMap()
         self.gossiper = Gossiper(self.items, 3, random.Random(1), clock)
-        self.instances = Instances(clock, lambda gone: None)
+        departures = Departures(GossipMap(), clock, Millis(3_000))
+        self.instances = Instances(clock, lambda gone: None, departures)
         self.applied = []
         self.progress = RegistryProgress(clock, frozenset({PART}))
         self.publisher = SourcePublisher(
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -185,3 +185,75 @@
             assert answer.missing == 0
 
     run_with_harness(behave, body)
+
+
+def test_an_instance_that_asked_for_a_pause_gets_no_request_until_it_is_over():
+    async def body(harness):
+        paused = harness.tools.instances.serving("s0")[0]
+        harness.tools.backoffs.record(paused, "r", Millis(2_000))
+        for _ in range(30):
+            answer, _ = await harness.ask(scatter_route(1))
+            assert isinstance(answer, Answer)
+        assert paused.id not in harness.pools.sent
+        await trio.sleep(3.0)
+        for _ in range(30):
+            await harness.ask(scatter_route(1))
+        assert paused.id in harness.pools.sent
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body, services=1)
+
+
+def test_hedges_and_retries_pass_over_instances_that_asked_for_a_pause():
+    def behave(instance, nth):
+        return (math.inf, good(instance)) if instance.id == "s0-0" else (5, lost())
+
+    async def body(harness):
+        for instance in harness.tools.instances.serving("s0")[1:]:
+            harness.tools.backoffs.record(instance, "r", Millis(60_000))
+        await harness.ask(scatter_route(1))
+        assert set(harness.pools.sent) == {"s0-0"}
+
+    run_with_harness(behave, body, services=1)
+
+
+def test_a_service_whose_instances_all_asked_for_pauses_is_refused_at_once_until_the_first_ends():
+    async def body(harness):
+        for number, instance in enumerate(harness.tools.instances.serving("s0")):
+            harness.tools.backoffs.record(instance, "r", Millis(2_000 + 1_000 * number))
+        before = harness.tools.clock.now()
+        refused, _ = await harness.ask(plain_route())
+        assert harness.tools.clock.now() == before
+        assert (refused.kind, refused.ran) == (ErrorKind.OVERLOADED, Ran.FALSE)
+        assert 2_000 <= refused.retry_after <= 2_500 * 1.5
+        assert harness.pools.sent == []
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body, services=1)
+
+
+def test_a_gather_is_refused_until_enough_shards_take_requests_again():
+    async def body(harness):
+        for shard, pause in enumerate((1_000, 4_000, 9_000)):
+            for instance in harness.tools.instances.serving(f"s{shard}"):
+                harness.tools.backoffs.record(instance, "r", Millis(pause))
+        answer, _ = await harness.ask(scatter_route(10, least_coverage=0.7))
+        assert answer.missing == 3
+        harness.pools.sent.clear()
+        refused, _ = await harness.ask(scatter_route(10, least_coverage=0.8))
+        assert (refused.kind, refused.ran) == (ErrorKind.OVERLOADED, Ran.FALSE)
+        assert harness.pools.sent == []
+        assert 900 <= refused.retry_after <= 1_250 * 1.5
+        refused, _ = await harness.ask(scatter_route(10, least_coverage=0.9))
+        assert 3_900 <= refused.retry_after <= 5_000 * 1.5
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_gather_that_lacks_instances_of_too_many_shards_is_refused_before_anything_is_sent():
+    async def body(harness):
+        for copy in range(3):
+            harness.tools.instances.remove(f"s0-{copy}", 2)
+        refused, _ = await harness.ask(scatter_route(4))
+        assert (refused.kind, refused.ran) == (ErrorKind.NO_TARGET, Ran.FALSE)
+        assert harness.pools.sent == []
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body, services=4)
