Bound what peers can make a daemon receive: bytes, pieces and memory

Cause: a reply's body might take 16 MB, a body in one-byte chunks and 100 Continue without end took a whole core until the deadline, and nothing bounded the memory of all unfinished replies together.

A part of a gather may have 64 times the records that the answer keeps, 64 KiB at least. At most 16 informational responses. Reads of 16 KiB, and a turn for other tasks every 32 events. A reply over its bounds closes the connection, is logged, counted, and ejects like a lost one.

--- a/packages/firtrestle/firtrestle/answers.py
+++ b/packages/firtrestle/firtrestle/answers.py
@@ -5,9 +5,13 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
+from firtrestle.http_clients import MAX_REPLY_BYTES
 from firtrestle.instance_replies import InstanceReply
 from firtrestle.routes import MergeRule, TopRecords, WholeReply
 
+MAX_RECORDS_RATIO = 64  # records in a part, to those that the merged answer keeps
+MIN_PART_BOUND = 65_536  # bytes, of the smallest bound of a part
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -33,6 +37,22 @@
     reply_by_service: dict[str, InstanceReply] = field(default_factory=dict)
 
 
+@singledispatch
+def max_part_bytes(rule: MergeRule) -> int:
+    """Return how many bytes of one instance's reply a route's merge rule has a use for."""
+    raise TypeError(f"no bound of replies for rule {type(rule).__name__}")
+
+
+@max_part_bytes.register
+def _max_whole_bytes(rule: WholeReply) -> int:
+    return MAX_REPLY_BYTES
+
+
+@max_part_bytes.register
+def _max_records_bytes(rule: TopRecords) -> int:
+    return max(MIN_PART_BOUND, MAX_RECORDS_RATIO * rule.count * rule.record_bytes)
+
+
 @singledispatch
 def merge(rule: MergeRule, parts: Parts) -> Answer:
     """Merge the replies, at least one, by a route's merge rule."""
--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import select
 from collections.abc import Sequence
@@ -14,11 +15,20 @@
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.isolations import first_leaf
+from firtrestle.receive_bounds import (
+    BodyReader,
+    BodyTooFragmented,
+    BodyTooLarge,
+    MemoryUsedUp,
+    ReceiveMemory,
+)
 from firtrestle.whole_numbers import parse_whole
 
-CHUNK_BYTES = 65_536
+CHUNK_BYTES = 16_384  # small, so that the events of one read hold the event loop only briefly
 MAX_HEAD_BYTES = 65_536
-MAX_REPLY_BYTES = 16_000_000
+MAX_REPLY_BYTES = 4_000_000
+MAX_INFORMATIONAL_RESPONSES = 16  # before a reply
+EVENTS_PER_TURN = 32  # of one reply, before other tasks get a turn
 BODILESS_STATUSES = frozenset({204, 304})  # replies with these statuses have no body
 KEEP_ALIVE_MARGIN = Millis(500)  # for a request in transit when the server's timeout ends
 DEFAULT_KEEP_ALIVE = Millis(60_000)  # if the server announces no timeout
@@ -64,6 +74,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReplyOverBounds(HttpFailure):
+    """Represent an exchange that was ended as the reply has no end, or no end within its bounds."""
+
+
 @dataclass(frozen=True, slots=True)
 class NoFreeConnection(HttpFailure):
     """Represent an exchange that didn't start as all connections allowed here are in use."""
@@ -99,18 +114,24 @@
 class HttpConnection:
     """Send one request at a time to one server."""
 
-    def __init__(self, stream: trio.abc.Stream, host: str) -> None:
+    def __init__(
+        self, stream: trio.abc.Stream, host: str, memory: ReceiveMemory | None = None
+    ) -> None:
         self._stream = stream
         self._host = host
+        self._memory = memory
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._max_reply_bytes = MAX_REPLY_BYTES
         self.usable = True
 
     @classmethod
-    async def open(cls, host: str, port: int, timeout: Millis) -> HttpConnection | HttpFailure:
+    async def open(
+        cls, host: str, port: int, timeout: Millis, memory: ReceiveMemory | None = None
+    ) -> HttpConnection | HttpFailure:
         """Connect within the timeout, or return the failure."""
         try:
             with move_on_after(timeout):
-                return cls(await _connect(host, port), f"{host}:{port}")
+                return cls(await _connect(host, port), f"{host}:{port}", memory)
         except OSError as error:
             return HttpFailure(False, f"connecting to {host}:{port} failed: {error}")
         return HttpFailure(False, f"connecting to {host}:{port} took too long")
@@ -138,13 +159,14 @@
         return await self.send_prepared(request, body)
 
     async def send_prepared(
-        self, request: h11.Request, body: bytes = b""
+        self, request: h11.Request, body: bytes = b"", max_reply_bytes: int = MAX_REPLY_BYTES
     ) -> HttpReply | HttpFailure:
         """Send a request unchanged and read its reply.
 
         The connection is not usable afterwards if the reply came before the whole request was sent
         or if bytes follow the reply.
         """
+        self._max_reply_bytes = max_reply_bytes
         is_reusable = False
         sent = False
         outcome: HttpReply | HttpFailure
@@ -201,25 +223,38 @@
         await trio.aclose_forcefully(self._stream)
 
     async def _read_reply(self) -> HttpReply | HttpFailure:
+        try:
+            with BodyReader(self._max_reply_bytes, self._memory) as reader:
+                return await self._read_events(reader)
+        except (BodyTooLarge, BodyTooFragmented, MemoryUsedUp) as error:
+            return ReplyOverBounds(True, str(error))
+
+    async def _read_events(self, reader: BodyReader) -> HttpReply | HttpFailure:
         status = 0
         headers: dict[str, str] = {}
-        body = bytearray()
+        informational = 0
         event: Any = h11.NEED_DATA  # nothing of the reply has been received yet
-        while True:
+        for number in itertools.count(1):
             if event is h11.NEED_DATA:
                 self._http.receive_data(await self._stream.receive_some(CHUNK_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_REPLY_BYTES:
-                    return HttpFailure(True, "the reply is too large")
+                reader.add(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return HttpReply(status, headers, bytes(body))
+                return HttpReply(status, headers, reader.body())
             elif isinstance(event, h11.ConnectionClosed):
                 return HttpFailure(True, "the server closed the connection")
+            elif isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL_RESPONSES:
+                    reason = f"over {MAX_INFORMATIONAL_RESPONSES} informational responses"
+                    return ReplyOverBounds(True, reason)
+            if number % EVENTS_PER_TURN == 0:
+                await trio.lowlevel.checkpoint()
             event = self._http.next_event()
+        raise AssertionError("unreachable")
 
     def _start_next_cycle(self) -> bool:
         if self._http.trailing_data[0]:
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -10,14 +11,23 @@
 
 import h11
 import trio
+from loguru import logger
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.isolations import faults
 from firtrestle.problems import problem_response
+from firtrestle.receive_bounds import (
+    BodyReader,
+    BodyTooFragmented,
+    BodyTooLarge,
+    MemoryUsedUp,
+    ReceiveMemory,
+)
 from firtrestle.settings import FrontSettings
 
-CHUNK_BYTES = 65_536
+CHUNK_BYTES = 16_384  # small, so that the events of one read hold the event loop only briefly
+EVENTS_PER_TURN = 32  # of one request, before other tasks get a turn
 MAX_HEAD_BYTES = 16_384
 STATUS_HEADERS_TOO_LARGE = 431
 
@@ -88,11 +98,13 @@
         bounds: HttpBounds,
         max_connections: int = 1_000,
         watch_callers: bool = True,
+        memory: ReceiveMemory | None = None,
     ) -> None:
         self.handler = handler
         self.bounds = bounds
         self.max_connections = max_connections
         self.watch_callers = watch_callers
+        self.memory = memory
         self.open_connections = 0
         self.closing = False
         self.idle_allowed = True
@@ -147,7 +159,7 @@
             return False
         try:
             with move_on_after(self._bounds.read_timeout) as scope:
-                request = await self._read_request(scope)
+                request = await self._read_bounded_request(scope)
             if scope.cancelled_caught:
                 request = Refused(ErrorKind.TOO_SLOW)
         except h11.RemoteProtocolError as error:
@@ -182,11 +194,28 @@
         self._http.receive_data(data)
         return True
 
-    async def _read_request(self, scope: trio.CancelScope) -> HttpRequest | Refused | None:
+    async def _read_bounded_request(self, scope: trio.CancelScope) -> HttpRequest | Refused | None:
+        """Read one request, or refuse one whose body exceeds a bound."""
+        limit = self._bounds.max_body_bytes
+        try:
+            with BodyReader(limit, self._server.memory) as reader:
+                return await self._read_request(scope, reader)
+        except BodyTooLarge:
+            return Refused(ErrorKind.TOO_LARGE, detail=f"the limit is {limit} bytes")
+        except BodyTooFragmented as error:
+            return Refused(ErrorKind.BAD_REQUEST, detail=str(error))
+        except MemoryUsedUp as error:
+            logger.bind(reason=str(error)).warning("request refused: no memory for its body")
+            return Refused(ErrorKind.OVERLOADED, detail=str(error))
+
+    async def _read_request(
+        self, scope: trio.CancelScope, reader: BodyReader
+    ) -> HttpRequest | Refused | None:
         """Read one request; its head extends the deadline by the idle timeout, for the body."""
         head: h11.Request | None = None
-        body = bytearray()
-        while True:
+        for number in itertools.count(1):
+            if number % EVENTS_PER_TURN == 0:
+                await trio.lowlevel.checkpoint()
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 if self._http.they_are_waiting_for_100_continue:
@@ -198,14 +227,12 @@
                 self._method = event.method.decode()
                 scope.deadline += self._bounds.idle_timeout / MILLIS_PER_SECOND
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._bounds.max_body_bytes:
-                    limit = self._bounds.max_body_bytes
-                    return Refused(ErrorKind.TOO_LARGE, detail=f"the limit is {limit} bytes")
+                reader.add(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _build_request(head, bytes(body))
+                return _build_request(head, reader.body())
             else:
                 return None
+        raise AssertionError("unreachable")
 
     async def _handle(self, request: HttpRequest) -> HttpResponse | None:
         """Run the handler; return None if the caller disconnected first."""
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -8,10 +8,16 @@
 
 import h11
 import trio
+from loguru import logger
 
 from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis
-from firtrestle.http_clients import HttpConnection, HttpFailure
+from firtrestle.http_clients import (
+    MAX_REPLY_BYTES,
+    HttpConnection,
+    HttpFailure,
+    ReplyOverBounds,
+)
 from firtrestle.instance_replies import (
     CallerMessage,
     InstanceCodec,
@@ -22,6 +28,7 @@
 from firtrestle.instances import Instance
 from firtrestle.isolations import faults
 from firtrestle.outcomes import SubOutcome
+from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.snapshots import ReplicaId
 
 # A loaded instance accepts within about 10 ms; a TCP retransmission takes longer than this timeout.
@@ -48,6 +55,7 @@
     deadline: Millis
     deliver: DeliverReply
     fresh: bool  # needs a new connection, because a message lost on a stale one can't be resent
+    max_reply_bytes: int = MAX_REPLY_BYTES
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     finished: bool = False
     sent_at: Millis | None = None  # when its message was written
@@ -96,6 +104,7 @@
     nursery: trio.Nursery
     backoffs: Backoffs
     observe: ObserveReply
+    memory: ReceiveMemory  # for unfinished replies
 
 
 class InstancePool:
@@ -106,11 +115,13 @@
         self.limit = 1
         self.open_connections = 0
         self.connections_opened = 0
+        self.replies_over_bounds = 0
         self._codec = tools.codec
         self._clock = tools.clock
         self._nursery = tools.nursery
         self._backoffs = tools.backoffs
         self._observe = tools.observe
+        self._memory = tools.memory
         self._idle: list[_IdleConnection] = []
         self._waiters: deque[_Waiter] = deque()
         self._sent_calls: list[InstanceCall] = []
@@ -178,7 +189,9 @@
         try:
             left = Millis(call.deadline - self._clock.now())
             request = self._codec.request(message, self.instance, left)
-            reply = await connection.send_prepared(request, message.body)
+            reply = await connection.send_prepared(request, message.body, call.max_reply_bytes)
+            if isinstance(reply, ReplyOverBounds):
+                self._log_over_bounds(message, reply)
             if isinstance(reply, HttpFailure):
                 call.finish(failed_reply(reply))
                 return
@@ -195,6 +208,12 @@
             self._sent_calls.remove(call)
             self._release_connection(connection, max_idle)
 
+    def _log_over_bounds(self, message: CallerMessage, failure: ReplyOverBounds) -> None:
+        self.replies_over_bounds += 1
+        logger.bind(
+            request_id=message.request_id, instance=self.instance.id, reason=failure.reason
+        ).warning("reply over its bounds, connection closed")
+
     def _refusal(self) -> InstanceReply | None:
         """Return the reply to a call that must not be sent now, None for others."""
         if self._closed:
@@ -250,7 +269,9 @@
         try:
             left = Millis(call.deadline - self._clock.now())
             timeout = min(CONNECT_TIMEOUT, left)
-            opened = await HttpConnection.open(self.instance.host, self.instance.port, timeout)
+            opened = await HttpConnection.open(
+                self.instance.host, self.instance.port, timeout, self._memory
+            )
         finally:
             if isinstance(opened, HttpFailure):
                 self._on_connection_closed()
@@ -285,6 +306,7 @@
     def __init__(self, tools: PoolTools) -> None:
         self._tools = tools
         self._pool_by_id: dict[ReplicaId, InstancePool] = {}
+        self._replies_over_bounds_before = 0  # of pools that were removed
 
     def start(self, instance: Instance, call: InstanceCall, connections: int) -> InstanceCall:
         """Start a call to an instance over at most `connections` connections."""
@@ -300,6 +322,7 @@
         for replica_id in ids:
             pool = self._pool_by_id.pop(replica_id, None)
             if pool is not None:
+                self._replies_over_bounds_before += pool.replies_over_bounds
                 pool.close()
 
     def refuse_waiting(self, replica_id: ReplicaId, outcome: SubOutcome, reason: str) -> None:
@@ -318,6 +341,12 @@
         """Return the number of calls that wait for a connection, over all pools."""
         return sum(pool.waiting for pool in self._pool_by_id.values())
 
+    @property
+    def replies_over_bounds(self) -> int:
+        """Return the number of replies ended as they exceeded their bounds, since the start."""
+        pools = self._pool_by_id.values()
+        return self._replies_over_bounds_before + sum(pool.replies_over_bounds for pool in pools)
+
     @property
     def open_connections(self) -> int:
         """Return the number of open connections over all pools."""
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -39,6 +39,11 @@
 QUEUED = Gauge(
     "firtrestle_attempts_queued", "Attempts that wait for a connection", registry=REGISTRY
 )
+OVER_BOUNDS = Gauge(
+    "firtrestle_replies_over_bounds",
+    "Replies of instances that were ended as they exceeded their bounds, since the start",
+    registry=REGISTRY,
+)
 CONNECTIONS = Gauge(
     "firtrestle_instance_connections", "Open connections to instances", registry=REGISTRY
 )
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -31,6 +31,7 @@
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import FINISHED, Cancellable, PeerAddress, PeerClients, PeerFailure
+from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.registry_readers import ReaderRole, RegistryProgress
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import FleetSize, ReplicaSubsets
@@ -46,6 +47,9 @@
 LATE_PLUGINS_DELAY = Millis(3_000)  # so that imports do not delay the first answers after a start
 EXIT_RESERVE = Millis(500)  # part of the grace period kept for the process to exit before SIGKILL
 FLUSH_DELAY = Millis(50)  # lets the last answers reach the network before the process exits
+BYTES_PER_MB = 1_000_000
+REPLY_MEMORY_SHARE = 0.1  # of the VM's memory, for unfinished replies of instances
+REQUEST_MEMORY_SHARE = 0.1  # of the VM's memory, for unfinished requests of callers
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -83,8 +87,17 @@
         self._peer_server = PeerServer(self._serve_peer, _refuse_sub_request)
         self._replicas = Replicas(clock)
         self._backoffs = Backoffs(clock, rng)
+        memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
+        reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
         self._pools = InstancePools(
-            PoolTools(instance_codec, clock, nursery, self._backoffs, self._observe_reply)
+            PoolTools(
+                instance_codec,
+                clock,
+                nursery,
+                self._backoffs,
+                self._observe_reply,
+                reply_memory,
+            )
         )
         self._departures = Departures(
             self.items,
@@ -113,6 +126,7 @@
             backoffs=self._backoffs,
             loop=self._loop,
             data_centre=settings.daemon.data_centre,
+            reply_memory_bytes=reply_memory.limit_bytes,
         )
         self.state = RouteState(RouteTable())
         self._reader_role = ReaderRole(
@@ -127,7 +141,13 @@
         )
         publisher.start(self._source.parse_routes)
         front = settings.front
-        self._http = HttpServer(self._handle, HttpBounds.from_config(front), front.max_connections)
+        request_memory = ReceiveMemory(int(memory_bytes * REQUEST_MEMORY_SHARE))
+        self._http = HttpServer(
+            self._handle,
+            HttpBounds.from_config(front),
+            front.max_connections,
+            memory=request_memory,
+        )
         self._operator_http = HttpServer(self._handle_operator, HttpBounds(), front.max_connections)
 
     def _build_budgets(self) -> RepeatBudgets:
@@ -259,6 +279,7 @@
         metrics.LOOP_BUSY.set(self._loop.busy_time() / MILLIS_PER_SECOND)
         metrics.IN_FLIGHT.set(sum(replica.in_flight for replica in self._replicas.by_id.values()))
         metrics.QUEUED.set(self._pools.waiting)
+        metrics.OVER_BOUNDS.set(self._pools.replies_over_bounds)
         metrics.CONNECTIONS.set(self._pools.open_connections)
         for state, count in self._replicas.count_by_state().items():
             metrics.REPLICAS.labels(state).set(count)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from firtrestle.answers import Answer, Parts, merge
+from firtrestle.answers import MIN_PART_BOUND, Answer, Parts, max_part_bytes, merge
 from firtrestle.attempts import Attempt, ShardState
 from firtrestle.backoffs import NO_PAUSE, Backoffs
 from firtrestle.clocks import Clock, Millis
@@ -66,6 +66,7 @@
     backoffs: Backoffs
     loop: LoopMonitor
     data_centre: str
+    reply_memory_bytes: int
     _last_serving_by_service: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
 
     def serving(self, service: str) -> tuple[Instance, ...]:
@@ -138,6 +139,9 @@
         self._latencies: list[Millis] = []
         self._call_by_attempt: dict[int, InstanceCall] = {}
         self.attempt_summary = _AttemptSummary()
+        # All replies of a gather together fit into the memory for replies.
+        memory_share = max(MIN_PART_BOUND, tools.reply_memory_bytes // len(services))
+        self._max_reply_bytes = min(memory_share, max_part_bytes(self._route.merge))
         self._pause_by_service: dict[str, Millis] = {}  # those given up as all instances pause
 
     async def run(self) -> Answer | Refused:
@@ -252,6 +256,7 @@
             self._request.deadline,
             self._delivery_callback(attempt),
             fresh=not self._route.repeatable,
+            max_reply_bytes=self._max_reply_bytes,
         )
         self._call_by_attempt[attempt.number] = call
         instance = self._tools.instances.get(attempt.replica.id)
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -184,6 +184,7 @@
                 backoffs=backoffs,
                 loop=FakeLoop(),
                 data_centre="dc",
+                reply_memory_bytes=20_000_000,
             )
             names = [f"s{number}" for number in range(services)]
             table = RouteTable.from_routes(
--- a/packages/firtrestle/tests/test_http_clients.py
+++ b/packages/firtrestle/tests/test_http_clients.py
@@ -1,6 +1,9 @@
+import h11
+import pytest
 import trio
 from firtrestle.clocks import Millis
 from firtrestle.http_clients import HttpConnection, HttpFailure, HttpReply
+from firtrestle.receive_bounds import ReceiveMemory
 from trio.testing import lockstep_stream_pair, memory_stream_pair
 
 HEADERS = [("Host", "h")]
@@ -93,3 +96,50 @@
 def test_keep_alive_timeout_is_reduced_by_a_margin():
     assert HttpReply(200, {"keep-alive": "timeout=5, max=9"}, b"").keep_alive() == Millis(4_500)
     assert HttpReply(200, {"keep-alive": "timeout=x"}, b"").keep_alive() > Millis(10_000)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "head": (HEAD, b"X-A: b\r\n"),
+    "header line": (HEAD + b"X-A: ", b"b" * 1_000),
+    "informational responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk size": (CHUNKED, b"0" * 1_000),
+    "small chunks": (CHUNKED, b"1\r\nx\r\n"),
+    "large chunks": (CHUNKED, b"1000\r\n" + b"x" * 4_096 + b"\r\n"),
+    "chunk extension": (CHUNKED + b"1;a=", b"b" * 1_000),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: b\r\n"),
+    "body without length": (HEAD + b"\r\n", b"x" * 4_096),
+    "body longer than it may be": (HEAD + b"Content-Length: 1000000000\r\n\r\n", b"x" * 4_096),
+}
+MAX_READ_BYTES = 400_000  # of a reply without end whose body is bound to 100,000 bytes
+
+
+@pytest.mark.parametrize("part", ENDLESS)
+async def test_a_reply_without_end_is_ended_within_its_bounds(part):
+    start, repeated = ENDLESS[part]
+    client, server = memory_stream_pair()
+    memory = ReceiveMemory(50_000)
+    connection = HttpConnection(client, "h", memory)
+    request = h11.Request(method="GET", target="/", headers=HEADERS)
+    sent = 0
+
+    async def serve():
+        nonlocal sent
+        await server.receive_some(65_536)
+        await server.send_all(start)
+        while True:
+            await server.send_all(repeated * (4_096 // len(repeated) + 1))
+            sent += len(repeated) * (4_096 // len(repeated) + 1)
+            await trio.lowlevel.checkpoint()
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            failure = await connection.send_prepared(request, b"", 100_000)
+            nursery.cancel_scope.cancel()
+    assert isinstance(failure, HttpFailure)
+    assert failure.sent
+    assert not connection.usable
+    assert sent < MAX_READ_BYTES
+    assert memory.used_bytes == 0
--- a/packages/firtrestle/tests/test_http_servers.py
+++ b/packages/firtrestle/tests/test_http_servers.py
@@ -3,6 +3,7 @@
 from firtrestle.clocks import Millis
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.isolations import faults
+from firtrestle.receive_bounds import ReceiveMemory
 from trio.testing import memory_stream_pair
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -25,12 +26,16 @@
 
 
 async def send_and_receive(
-    data: bytes, handler: RecordingHandler | None = None, half_close: bool = False
+    data: bytes,
+    handler: RecordingHandler | None = None,
+    half_close: bool = False,
+    max_body_bytes: int = 100,
+    memory: ReceiveMemory | None = None,
 ) -> bytes:
     handler = handler or RecordingHandler()
     client, server_side = memory_stream_pair()
-    bounds = HttpBounds(max_body_bytes=100, read_timeout=Millis(1_000), idle_timeout=Millis(2_000))
-    server = HttpServer(handler.handle, bounds)
+    bounds = HttpBounds(max_body_bytes, Millis(1_000), Millis(2_000))
+    server = HttpServer(handler.handle, bounds, memory=memory)
     received = b""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(server.serve, server_side)
@@ -131,3 +136,19 @@
     handler.requests = None  # so that the handler raises
     assert (await send_and_receive(GET, handler, half_close=True)).startswith(b"HTTP/1.1 500")
     assert faults.count_by_task["HTTP handler"] == counted + 1
+
+
+async def test_a_request_body_in_one_byte_chunks_without_end_is_refused(autojump_clock):
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    received = await send_and_receive(head + b"1\r\nx\r\n" * 3_000, max_body_bytes=1_000_000)
+    assert b"HTTP/1.1 400" in received
+
+
+async def test_a_request_body_beyond_the_memory_for_requests_is_refused(autojump_clock):
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"
+    memory = ReceiveMemory(10_000)
+    received = await send_and_receive(
+        head + b"x" * 100_000, max_body_bytes=1_000_000, memory=memory
+    )
+    assert b"HTTP/1.1 503" in received
+    assert memory.used_bytes == 0
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -17,6 +17,7 @@
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance
 from firtrestle.outcomes import SubOutcome
+from firtrestle.receive_bounds import ReceiveMemory
 
 FAR_DEADLINE = Millis(1_000_000_000)
 
@@ -42,7 +43,8 @@
         clock = Clock()
         self.backoffs = Backoffs(clock, random.Random(1))
         self.observed = []
-        tools = PoolTools(Codec(), clock, nursery, self.backoffs, self.observe)
+        self.memory = ReceiveMemory(1_000_000)
+        tools = PoolTools(Codec(), clock, nursery, self.backoffs, self.observe, self.memory)
         self.pools = InstancePools(tools)
         self.replies = []
 
