Share reports on slow instances between daemons

Cause: a daemon ejects an instance after two lost races in a row. A hedge that loses to an earlier attempt counted as a lost race of its replica, too.

Change: each lost race and overdue attempt is told to three peers that stay the same. Reports on one instance that span more than a pause of a healthy one (400 ms) are a verdict, which spreads to all and holds for 2.5 s; other replicas then come first. Nothing is avoided while over 0.3 of all instances seem slow, as that is overload. Times travel as ages. An attempt lost a race only if it waited longer than the winner.

Ruled out: items of the gossip map (each change would make digests differ and cost bytes between data centres), an aggregating daemon for each instance (streams to all), a push of each report to all.

--- a/packages/firtrestle/firtrestle/members.py
+++ b/packages/firtrestle/firtrestle/members.py
@@ -14,9 +14,11 @@
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.events import EventKind, EventLog
 from firtrestle.gossip_maps import MAX_ITEMS_PER_PULL, Gossiper, Item
+from firtrestle.hashing import hash64
 from firtrestle.isolations import faults
 from firtrestle.messages import Done, Ping, PingFor, Pong
 from firtrestle.peers import Cancellable, Deliver, PeerAddress, PeerClients, PeerFailure
+from firtrestle.rendezvous import rank
 from firtrestle.settings import DaemonSettings, PeerSettings
 from firtrestle.vm_lists import Vm, VmList
 
@@ -105,6 +107,8 @@
         self._ping_order: list[str] = []
         self._probe_ids: set[str] = set()
         self._pings = 0
+        self._partners: list[Member] = []
+        self._partners_version = (-1, 0, 0)
         self._items.add_validator(MEMBER_PREFIX, _is_member_value)
         self._items.add_listener(MEMBER_PREFIX, self._on_item)
         self._announce()
@@ -130,6 +134,29 @@
         """Return the live members except this daemon."""
         return [m for m in self.live() if m.id != self.me.id]
 
+    def partners(self, local: int, remote: int) -> list[Member]:
+        """Return live peers of this and of other data centres, the same ones while they live.
+
+        Streams to them stay open, and over all daemons they connect the whole fleet.
+        """
+        if self._partners_version != (self.version, local, remote):
+            self._partners_version = (self.version, local, remote)
+            by_id = {member.id: member for member in self.live_peers()}
+            ordered = [by_id[id_] for id_ in rank(f"partners/{self.me.id}", by_id)]
+            near = [m for m in ordered if m.data_centre == self.me.data_centre]
+            far = [m for m in ordered if m.data_centre != self.me.data_centre]
+            successor = self._successor(near)
+            near = [successor, *(m for m in near if m is not successor)] if near else []
+            self._partners = near[:local] + far[:remote]
+        return self._partners
+
+    def _successor(self, near: list[Member]) -> Member | None:
+        """Return the next daemon in a ring, so that each one is the partner of another."""
+        in_order = sorted(near, key=lambda member: hash64(member.id))
+        own_place = hash64(self.me.id)
+        later = [member for member in in_order if hash64(member.id) > own_place]
+        return next(iter(later or in_order), None)
+
     def live_ids(self, data_centre: str | None = None) -> list[str]:
         """Return the ids of the live members of a data centre, or of all if it has none."""
         live = self.live()
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -73,11 +73,15 @@
 @message("pull")
 @dataclass(slots=True)
 class Pull:
-    """Request items by key, send items that the peer lacks, and announce large ones."""
+    """Request items by key, send items that the peer lacks, and announce large ones.
+
+    `slow` holds reports on slow instances, which are not kept as items.
+    """
 
     keys: list[str] = field(default_factory=list)
     items: list[list[Any]] = field(default_factory=list)
     announced: dict[str, int] = field(default_factory=dict)
+    slow: list[list[Any]] = field(default_factory=list)
 
 
 @message("items")
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -48,6 +48,11 @@
     "firtrestle_instance_connections", "Open connections to instances", registry=REGISTRY
 )
 REPLICAS = Gauge("firtrestle_replicas", "Known replicas by state", ["state"], registry=REGISTRY)
+REPORTED_SLOW = Gauge(
+    "firtrestle_instances_reported_slow",
+    "Instances that are slow by the reports of several daemons",
+    registry=REGISTRY,
+)
 LEAVING = Gauge(
     "firtrestle_instances_leaving",
     "Instances that announced their departure, here or to a peer",
--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -66,7 +66,11 @@
         if not replicas:
             return None
         now = self._clock.now()
-        usable = [replica for replica in replicas if not replica.is_ejected(now)] or list(replicas)
+        usable = (
+            [replica for replica in replicas if not replica.is_avoided(now)]
+            or [replica for replica in replicas if not replica.is_ejected(now)]
+            or list(replicas)
+        )
         trusted = [replica.latency for replica in usable if replica.samples >= MIN_SAMPLES]
         floor = min(trusted, default=DEFAULT_LATENCY)
         return min(usable, key=lambda replica: self._aged_rank(replica, floor, now))
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -37,6 +37,7 @@
     latency: Millis = Millis(0)
     samples: int = 0
     ejected_until: Millis = Millis(0)
+    reported_slow_until: Millis = Millis(0)  # by the reports of several daemons
     ejections: int = 0
     successes_since_ejection: int = 0
     is_remote: bool = False  # in another data centre than this daemon
@@ -106,6 +107,10 @@
         """Return whether the replica is out of use after failures or lost races."""
         return now < self.ejected_until
 
+    def is_avoided(self, now: Millis) -> bool:
+        """Return whether other replicas come first: it is ejected, or slow for other daemons."""
+        return self.is_ejected(now) or now < self.reported_slow_until
+
     def _update_latency(self, latency: Millis) -> None:
         self.samples += 1
         if self.samples == 1:
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -41,9 +41,12 @@
 from firtrestle.routes import RouteTable
 from firtrestle.service_gathers import ServiceTools
 from firtrestle.settings import Settings, load_settings
+from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
 
 HOUSEKEEPING_INTERVAL = Millis(500)
+SLOW_REPORTS_INTERVAL = Millis(200)
+SLOW_REPORTS_PARTNERS = (2, 1)  # in this data centre, and in others, where bytes are scarce
 LATE_PLUGINS_DELAY = Millis(3_000)  # so that imports do not delay the first answers after a start
 EXIT_RESERVE = Millis(500)  # part of the grace period kept for the process to exit before SIGKILL
 FLUSH_DELAY = Millis(50)  # lets the last answers reach the network before the process exits
@@ -110,6 +113,7 @@
         )
         self._budgets = self._build_budgets()
         self._crashes = CrashRecords(self.items, clock)
+        self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
         tools = ServiceTools(
@@ -124,6 +128,7 @@
             subsets=self._subsets,
             crashes=self._crashes,
             backoffs=self._backoffs,
+            slow_reports=self._slow_reports,
             loop=self._loop,
             data_centre=settings.daemon.data_centre,
             reply_memory_bytes=reply_memory.limit_bytes,
@@ -176,6 +181,7 @@
         start(self._source.run)
         start(self._reader_role.run)
         start(self._run_housekeeping)
+        start(self._share_slow_reports)
         start(self._reload_on_hangup)
         start(self._load_late_plugins)
         await self._wait_for_stop(accept_scope)
@@ -186,11 +192,25 @@
             self.instances.expire()
             self._departures.expire()
             self._backoffs.expire()
+            self._slow_reports.expire()
             self._crashes.expire()
             self._pools.close_stale()
             self._update_fleet_size()
             await sleep(HOUSEKEEPING_INTERVAL)
 
+    async def _share_slow_reports(self) -> None:
+        """Tell a few peers what changed in the reports on slow instances, forever."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await sleep(SLOW_REPORTS_INTERVAL)
+                rows = self._slow_reports.take_rows()
+                for partner in self._members.partners(*SLOW_REPORTS_PARTNERS) if rows else []:
+                    nursery.start_soon(self._members.call, partner, Pull(slow=rows))
+
+    def _avoid_slow(self, replica_id: ReplicaId, until: Millis) -> None:
+        if self.instances.get(replica_id) is not None:
+            self._replicas.get(replica_id).reported_slow_until = until
+
     def _update_fleet_size(self) -> None:
         """Count every known daemon, dead ones too.
 
@@ -283,6 +303,7 @@
         metrics.CONNECTIONS.set(self._pools.open_connections)
         for state, count in self._replicas.count_by_state().items():
             metrics.REPLICAS.labels(state).set(count)
+        metrics.REPORTED_SLOW.set(self._slow_reports.slow_count())
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
         for service, repeats_left in self._budgets.remaining_by_service().items():
@@ -369,6 +390,7 @@
             case PingFor():
                 return await self._members.serve_ping_for(value)
             case Pull():
+                self._slow_reports.merge_rows(value.slow)
                 return self._gossiper.serve_pull(value)
         return Done(True)
 
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -29,6 +29,7 @@
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replica, Replicas
 from firtrestle.routes import Route, RouteTable
+from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
 
 # Share of the latency target for what the daemon does not see: the target counts from the caller's
@@ -64,6 +65,7 @@
     subsets: ReplicaSubsets
     crashes: CrashRecords
     backoffs: Backoffs
+    slow_reports: SlowReports
     loop: LoopMonitor
     data_centre: str
     reply_memory_bytes: int
@@ -236,7 +238,7 @@
         now = self._tools.clock.now()
         record = self._tools.replicas.get(instance.replica_id)
         return (
-            not record.is_ejected(now)
+            not record.is_avoided(now)
             and record.expected_success(now) >= MIN_SUBSET_SUCCESS_SHARE
             and not self._tools.backoffs.left(instance.replica_id)
         )
@@ -282,12 +284,17 @@
         for loser in state.attempts:
             waited = Millis(now - self._awaited_since(loser))
             self._latencies.append(waited)
-            if loser.replica.record_lost_race(waited, now):
-                self._log_ejection(loser, waited)
+            if waited > latency:  # else it is the hedge that lost
+                self._record_lost_race(loser, waited)
             loser.cancel()
         self._latencies.append(latency)
         self._parts.reply_by_service[self._services[state.number]] = reply
 
+    def _record_lost_race(self, loser: Attempt, waited: Millis) -> None:
+        self._tools.slow_reports.record(loser.replica.id)
+        if loser.replica.record_lost_race(waited, self._tools.clock.now()):
+            self._log_ejection(loser, waited)
+
     def _has_capacity(self, replica: Replica) -> bool:
         return replica.has_capacity() and not self._tools.backoffs.left(replica.id)
 
@@ -299,6 +306,7 @@
         for attempt in state.attempts:
             waited = Millis(now - self._awaited_since(attempt))
             if waited >= self._route.latency_target * MIN_OVERDUE_SHARE:
+                self._tools.slow_reports.record(attempt.replica.id)
                 attempt.replica.record_overdue(waited, now)
 
     def _log_ejection(self, loser: Attempt, waited: Millis) -> None:
--- /dev/null
+++ b/packages/firtrestle/firtrestle/slow_reports.py
@@ -0,0 +1,149 @@
+"""Combine the lost races of all daemons into a verdict: which instances are slow."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+
+from firtrestle.clocks import Clock, Millis
+from firtrestle.snapshots import ReplicaId
+
+# A healthy instance's pause delays requests for a shorter time.
+MIN_SPAN = Millis(400)
+MAX_GAP = Millis(1_000)  # between two reports of one run
+# Longer than it takes until a renewed verdict has reached all daemons.
+HOLD_TIME = Millis(2_500)
+RENEWAL_INTERVAL = Millis(500)  # of a verdict that newer reports support
+MIN_OWN_INTERVAL = Millis(100)  # between two reports of this daemon that peers are told of
+# With more of the instances slow, the load is too high, and moving it makes others slow.
+MAX_SLOW_SHARE = 0.3
+MAX_REPORTED_AGE = Millis(60_000)
+
+OnSlow = Callable[[ReplicaId, Millis], None]
+
+
+@dataclass(slots=True)
+class _Run:
+    """Represent reports on one instance, the times of the first and the last."""
+
+    first_at: Millis
+    last_at: Millis
+    told_at: Millis = Millis(float("-inf"))  # the last report that peers were told of
+
+    @property
+    def is_slow(self) -> bool:
+        """Return whether the reports span more than a pause of a healthy instance."""
+        return self.last_at - self.first_at >= MIN_SPAN
+
+    def ends_before(self, report_at: Millis) -> bool:
+        """Return whether a report is too late to belong to the run.
+
+        While an instance is avoided nobody can report on it, so that a verdict extends its run.
+        """
+        return report_at - self.last_at > MAX_GAP + (HOLD_TIME if self.is_slow else 0.0)
+
+
+class SlowReports:
+    """Collect reports that instances were slow, and tell when an instance is to be avoided.
+
+    A daemon of a large fleet sends each instance a request in some seconds only, too few to notice
+    alone that it is slow. Daemons tell a few peers of each report, and verdicts spread to all.
+    Times travel as ages, so that wall clocks don't matter.
+    """
+
+    def __init__(self, clock: Clock, count_instances: Callable[[], int], on_slow: OnSlow) -> None:
+        self._clock = clock
+        self._count_instances = count_instances
+        self._on_slow = on_slow
+        self._run_by_replica: dict[ReplicaId, _Run] = {}
+        self._changed: set[ReplicaId] = set()
+
+    def record(self, replica_id: ReplicaId) -> None:
+        """Record that an instance was slower than another one for a request of this daemon."""
+        now = self._clock.now()
+        run = self._merge(replica_id, now, now)
+        if now - run.told_at >= MIN_OWN_INTERVAL:
+            self._announce(replica_id, run)
+
+    def merge_rows(self, rows: list[Any]) -> None:
+        """Merge the reports that a peer sent; skip malformed ones."""
+        now = self._clock.now()
+        for row in rows:
+            if not _is_row(row):
+                logger.debug("a peer's report on a slow instance is malformed: {!r}", row)
+                continue
+            instance_id, born, first_age, last_age = row
+            replica_id = ReplicaId(instance_id, str(born))
+            run = self._merge(replica_id, Millis(now - first_age), Millis(now - last_age))
+            if run.is_slow and run.last_at - run.told_at >= RENEWAL_INTERVAL:
+                self._announce(replica_id, run)
+
+    def take_rows(self) -> list[list[Any]]:
+        """Return what peers are to be told since the last call."""
+        now = self._clock.now()
+        changed, self._changed = self._changed, set()
+        runs = [(id_, self._run_by_replica[id_]) for id_ in changed if id_ in self._run_by_replica]
+        return [
+            [id_.target_id, id_.searcher, round(now - run.first_at), round(now - run.last_at)]
+            for id_, run in runs
+        ]
+
+    def slow_count(self) -> int:
+        """Return the number of instances with a verdict that holds."""
+        now = self._clock.now()
+        runs = self._run_by_replica.values()
+        return sum(run.is_slow and now - run.last_at < HOLD_TIME for run in runs)
+
+    def expire(self) -> None:
+        """Forget runs that no later report can extend."""
+        now = self._clock.now()
+        for replica_id in [
+            id_ for id_, run in self._run_by_replica.items() if run.ends_before(now)
+        ]:
+            del self._run_by_replica[replica_id]
+
+    def _announce(self, replica_id: ReplicaId, run: _Run) -> None:
+        run.told_at = run.last_at
+        self._changed.add(replica_id)
+
+    def _merge(self, replica_id: ReplicaId, first_at: Millis, last_at: Millis) -> _Run:
+        run = self._run_by_replica.get(replica_id)
+        if run is None or run.ends_before(first_at):
+            run = self._run_by_replica[replica_id] = _Run(first_at, last_at)
+            was_slow = False
+        elif run.first_at - last_at > MAX_GAP:  # of an earlier run
+            return run
+        else:
+            was_slow = run.is_slow
+            run.first_at = min(run.first_at, first_at)
+            run.last_at = max(run.last_at, last_at)
+        if run.is_slow:
+            self._apply(replica_id, run, was_slow)
+        return run
+
+    def _apply(self, replica_id: ReplicaId, run: _Run, was_slow: bool) -> None:
+        now = self._clock.now()
+        is_overload = self.slow_count() > MAX_SLOW_SHARE * self._count_instances()
+        if not was_slow:
+            logger.bind(
+                instance=replica_id.target_id,
+                span_ms=round(run.last_at - run.first_at),
+                age_ms=round(now - run.last_at),
+                avoided=not is_overload,
+            ).info("instance slow, by the reports of several daemons")
+        if not is_overload:
+            self._on_slow(replica_id, Millis(run.last_at + HOLD_TIME))
+
+
+def _is_row(row: Any) -> bool:
+    if not isinstance(row, list) or len(row) != 4:
+        return False
+    instance_id, born, first_age, last_age = row
+    are_texts = isinstance(instance_id, str) and isinstance(born, str)
+    are_numbers = all(
+        isinstance(age, int | float) and not isinstance(age, bool) for age in (first_age, last_age)
+    )
+    return are_texts and are_numbers and 0 <= last_age <= first_age <= MAX_REPORTED_AGE
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -26,6 +26,7 @@
 from firtrestle.routes import Route, RouteTable, ServiceTerms, TopRecords, WeightedService
 from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
 from firtrestle.settings import TargetSettings
+from firtrestle.slow_reports import SlowReports
 from trio.testing import MockClock
 
 Behave = Callable[[Instance, int], tuple[float, InstanceReply]]
@@ -182,6 +183,7 @@
                 subsets=ReplicaSubsets("d1", "dc"),
                 crashes=CrashRecords(GossipMap(), clock),
                 backoffs=backoffs,
+                slow_reports=SlowReports(clock, instances.count, lambda replica_id, until: None),
                 loop=FakeLoop(),
                 data_centre="dc",
                 reply_memory_bytes=20_000_000,
--- a/packages/firtrestle/tests/test_members.py
+++ b/packages/firtrestle/tests/test_members.py
@@ -139,3 +139,25 @@
         assert "d2" not in members["d0"].live_ids()
         assert "d2" not in members["d2"].live_ids()
         nursery.cancel_scope.cancel()
+
+
+async def test_each_daemon_is_the_partner_of_another_and_partners_stay_the_same():
+    clock = Clock()
+    by_id = {}
+    for number in range(40):
+        me = Member(f"d{number}", 1, MemberStatus.ALIVE, f"dc{number % 4}", "h", 1, number + 1)
+        items = Gossiper(GossipMap(), 3, random.Random(1), clock)
+        events = EventLog(me.id, 1, clock, 100)
+        by_id[me.id] = Members(me, SETTINGS, items, None, clock, events, random.Random(1))
+    for members in by_id.values():
+        for other in by_id.values():
+            members.by_id[other.me.id] = other.me
+        members.version += 1
+    partners = {id_: [m.id for m in members.partners(2, 1)] for id_, members in by_id.items()}
+    assert {name for names in partners.values() for name in names} == set(by_id)
+    for id_, names in partners.items():
+        local = [name for name in names if by_id[name].me.data_centre == by_id[id_].me.data_centre]
+        assert (len(local), len(names), id_ in names) == (2, 3, False)
+    assert partners == {
+        id_: [m.id for m in members.partners(2, 1)] for id_, members in by_id.items()
+    }
