Let a reply in time lift a verdict of slowness, and make it a cost instead of a bar

Change: a reply that came before it would have been hedged ends the run of reports, here and at all who know the verdict. A replica under a verdict costs four times as much instead of coming last, so that one that sheds most of its load is not preferred to it.

--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -16,6 +16,8 @@
 DEFAULT_LATENCY = Millis(5)
 MIN_SUCCESS_SHARE = 0.05  # bounds the cost of a replica that sheds everything
 REMOTE_COST_FACTOR = 2.0  # bandwidth between data centres is scarce, but balance comes first
+# Of a replica that is slow for other daemons; one that sheds most of its load costs more.
+SLOW_COST_FACTOR = 4.0
 QUEUE_HINT_WEIGHT = 0.25  # below 1, as the reported queue is slightly out of date
 
 
@@ -66,11 +68,7 @@
         if not replicas:
             return None
         now = self._clock.now()
-        usable = (
-            [replica for replica in replicas if not replica.is_avoided(now)]
-            or [replica for replica in replicas if not replica.is_ejected(now)]
-            or list(replicas)
-        )
+        usable = [replica for replica in replicas if not replica.is_ejected(now)] or list(replicas)
         trusted = [replica.latency for replica in usable if replica.samples >= MIN_SAMPLES]
         floor = min(trusted, default=DEFAULT_LATENCY)
         return min(usable, key=lambda replica: self._aged_rank(replica, floor, now))
@@ -81,6 +79,8 @@
         aged = max(floor, floor + (latency - floor) * replica.observation_weight(now))
         success = max(MIN_SUCCESS_SHARE, replica.expected_success(now))
         cost = load * max(aged, 0.1) / success**2 * self._warm_up_factor(replica)
+        if replica.is_reported_slow(now):
+            cost *= SLOW_COST_FACTOR
         return cost * (REMOTE_COST_FACTOR if replica.is_remote else 1.0), self._rng.random()
 
 
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -107,9 +107,9 @@
         """Return whether the replica is out of use after failures or lost races."""
         return now < self.ejected_until
 
-    def is_avoided(self, now: Millis) -> bool:
-        """Return whether other replicas come first: it is ejected, or slow for other daemons."""
-        return self.is_ejected(now) or now < self.reported_slow_until
+    def is_reported_slow(self, now: Millis) -> bool:
+        """Return whether the replica is slow by the reports of several daemons."""
+        return now < self.reported_slow_until
 
     def _update_latency(self, latency: Millis) -> None:
         self.samples += 1
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -238,7 +238,8 @@
         now = self._tools.clock.now()
         record = self._tools.replicas.get(instance.replica_id)
         return (
-            not record.is_avoided(now)
+            not record.is_ejected(now)
+            and not record.is_reported_slow(now)
             and record.expected_success(now) >= MIN_SUBSET_SUCCESS_SHARE
             and not self._tools.backoffs.left(instance.replica_id)
         )
@@ -281,6 +282,8 @@
         now = self._tools.clock.now()
         if not self._tools.crashes.is_empty:
             self._tools.crashes.record_success(self._request.fingerprint)
+        if not self._tools.slow_reports.is_empty:
+            self._report_good(attempt.replica.id, latency)
         for loser in state.attempts:
             waited = Millis(now - self._awaited_since(loser))
             self._latencies.append(waited)
@@ -290,6 +293,12 @@
         self._latencies.append(latency)
         self._parts.reply_by_service[self._services[state.number]] = reply
 
+    def _report_good(self, replica_id: ReplicaId, latency: Millis) -> None:
+        """Report a reply that came before it would have been hedged."""
+        delay = self._hedge_delay()
+        if delay is None or latency <= delay:
+            self._tools.slow_reports.record_good(replica_id)
+
     def _record_lost_race(self, loser: Attempt, waited: Millis) -> None:
         self._tools.slow_reports.record(loser.replica.id)
         if loser.replica.record_lost_race(waited, self._tools.clock.now()):
--- a/packages/firtrestle/firtrestle/slow_reports.py
+++ b/packages/firtrestle/firtrestle/slow_reports.py
@@ -27,16 +27,20 @@
 
 @dataclass(slots=True)
 class _Run:
-    """Represent reports on one instance, the times of the first and the last."""
+    """Represent reports on one instance, the times of the first and the last.
+
+    A reply in time ends a run; `good_at` is that of the last one, which outlasts late reports.
+    """
 
     first_at: Millis
     last_at: Millis
+    good_at: Millis = Millis(float("-inf"))
     told_at: Millis = Millis(float("-inf"))  # the last report that peers were told of
 
     @property
     def is_slow(self) -> bool:
         """Return whether the reports span more than a pause of a healthy instance."""
-        return self.last_at - self.first_at >= MIN_SPAN
+        return self.last_at - max(self.first_at, self.good_at) >= MIN_SPAN
 
     def ends_before(self, report_at: Millis) -> bool:
         """Return whether a report is too late to belong to the run.
@@ -61,6 +65,11 @@
         self._run_by_replica: dict[ReplicaId, _Run] = {}
         self._changed: set[ReplicaId] = set()
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no report is kept."""
+        return not self._run_by_replica
+
     def record(self, replica_id: ReplicaId) -> None:
         """Record that an instance was slower than another one for a request of this daemon."""
         now = self._clock.now()
@@ -68,6 +77,15 @@
         if now - run.told_at >= MIN_OWN_INTERVAL:
             self._announce(replica_id, run)
 
+    def record_good(self, replica_id: ReplicaId) -> None:
+        """Record that an instance replied in time, which ends a run of reports on it.
+
+        An instance that is busy for good reasons is late at times, a slow one nearly always.
+        """
+        run = self._run_by_replica.get(replica_id)
+        if run is not None and self._end_run(replica_id, run, self._clock.now()):
+            self._announce(replica_id, run)
+
     def merge_rows(self, rows: list[Any]) -> None:
         """Merge the reports that a peer sent; skip malformed ones."""
         now = self._clock.now()
@@ -75,10 +93,14 @@
             if not _is_row(row):
                 logger.debug("a peer's report on a slow instance is malformed: {!r}", row)
                 continue
-            instance_id, born, first_age, last_age = row
-            replica_id = ReplicaId(instance_id, str(born))
+            instance_id, born, first_age, last_age, good_age = row
+            replica_id = ReplicaId(instance_id, born)
             run = self._merge(replica_id, Millis(now - first_age), Millis(now - last_age))
-            if run.is_slow and run.last_at - run.told_at >= RENEWAL_INTERVAL:
+            is_lifted = good_age is not None and self._end_run(
+                replica_id, run, Millis(now - good_age)
+            )
+            is_renewed = run.is_slow and run.last_at - run.told_at >= RENEWAL_INTERVAL
+            if is_lifted or is_renewed:
                 self._announce(replica_id, run)
 
     def take_rows(self) -> list[list[Any]]:
@@ -87,7 +109,13 @@
         changed, self._changed = self._changed, set()
         runs = [(id_, self._run_by_replica[id_]) for id_ in changed if id_ in self._run_by_replica]
         return [
-            [id_.target_id, id_.searcher, round(now - run.first_at), round(now - run.last_at)]
+            [
+                id_.target_id,
+                id_.searcher,
+                round(now - run.first_at),
+                round(now - run.last_at),
+                round(now - run.good_at) if run.good_at > run.first_at else None,
+            ]
             for id_, run in runs
         ]
 
@@ -109,6 +137,15 @@
         run.told_at = run.last_at
         self._changed.add(replica_id)
 
+    def _end_run(self, replica_id: ReplicaId, run: _Run, good_at: Millis) -> bool:
+        """Count only reports after a good reply; return whether that lifted a verdict."""
+        was_slow = run.is_slow
+        run.good_at = max(run.good_at, good_at)
+        if not was_slow or run.is_slow:
+            return False
+        self._on_slow(replica_id, self._clock.now())
+        return True
+
     def _merge(self, replica_id: ReplicaId, first_at: Millis, last_at: Millis) -> _Run:
         run = self._run_by_replica.get(replica_id)
         if run is None or run.ends_before(first_at):
@@ -139,11 +176,15 @@
 
 
 def _is_row(row: Any) -> bool:
-    if not isinstance(row, list) or len(row) != 4:
+    if not isinstance(row, list) or len(row) != 5:
         return False
-    instance_id, born, first_age, last_age = row
+    instance_id, born, first_age, last_age, good_age = row
     are_texts = isinstance(instance_id, str) and isinstance(born, str)
     are_numbers = all(
-        isinstance(age, int | float) and not isinstance(age, bool) for age in (first_age, last_age)
+        isinstance(age, int | float) and not isinstance(age, bool)
+        for age in (first_age, last_age, 0 if good_age is None else good_age)
     )
-    return are_texts and are_numbers and 0 <= last_age <= first_age <= MAX_REPORTED_AGE
+    if not (are_texts and are_numbers):
+        return False
+    is_good_age = good_age is None or 0 <= good_age <= MAX_REPORTED_AGE
+    return is_good_age and 0 <= last_age <= first_age <= MAX_REPORTED_AGE
--- a/packages/firtrestle/tests/test_slow_reports.py
+++ b/packages/firtrestle/tests/test_slow_reports.py
@@ -124,6 +124,34 @@
     assert sum(daemon.avoids(replica_id) for replica_id in slow) <= 0.3 * INSTANCES
 
 
+def test_a_reply_in_time_lifts_a_verdict_everywhere():
+    (first, second, third), clock = daemons(3)
+    first.reports.record(SLOW)
+    wait(clock, MIN_SPAN)
+    first.reports.record(SLOW)
+    rows = tell(first, second)
+    third.reports.merge_rows(rows)
+    wait(clock, 50)
+    second.reports.record_good(SLOW)
+    assert not second.avoids()
+    tell(second, first, third)
+    assert not first.avoids()
+    assert not third.avoids()
+    third.reports.merge_rows(rows)
+    assert not third.avoids()
+
+
+def test_a_busy_instance_that_is_late_at_times_is_no_slow_one():
+    """Pattern: half of the replicas shed; the others are busy, and some of their replies late."""
+    (daemon,), clock = daemons(1)
+    for _ in range(30):
+        daemon.reports.record(SLOW)
+        wait(clock, 60)
+        daemon.reports.record_good(SLOW)
+        wait(clock, 60)
+        assert not daemon.avoids()
+
+
 def test_reports_are_forgotten_when_no_later_one_can_extend_them():
     (daemon,), clock = daemons(1)
     daemon.reports.record(SLOW)
@@ -134,9 +162,10 @@
 
 def test_malformed_reports_are_skipped():
     (daemon,), _ = daemons(1)
-    for row in (7, [], ["i", "7", 1], ["i", 7, 1, 1], ["i", "7", 1, 2], ["i", "7", True, 0]):
-        daemon.reports.merge_rows([row])
-    daemon.reports.merge_rows([["i", "7", 1e9, 0], ["i", "7", 5, -1], ["i", "7", "x", 0]])
+    daemon.reports.merge_rows([7, [], ["i", "7", 1, 0], ["i", 7, 1, 1, None]])
+    for ages in ((1, 2, None), (True, 0, None), (1e9, 0, None), (5, -1, None), ("x", 0, None)):
+        daemon.reports.merge_rows([["i", "7", *ages]])
+    daemon.reports.merge_rows([["i", "7", 1, 1, "x"], ["i", "7", 1, 1, -1]])
     assert daemon.reports._run_by_replica == {}
 
 
