--- a/packages/firtrestle/tests/test_http_clients.py
+++ b/packages/firtrestle/tests/test_http_clients.py
@@ -1,3 +1,6 @@
+import socket
+import struct
+
 import h11
 import pytest
 import trio
@@ -143,3 +146,22 @@
     assert not connection.usable
     assert sent < MAX_READ_BYTES
     assert memory.used_bytes == 0
+
+
+async def test_a_reply_without_a_length_whose_connection_is_reset_is_a_failure():
+    async def reset_midway(stream: trio.SocketStream) -> None:
+        await stream.receive_some(65_536)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        await trio.sleep(0.05)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        stream.socket.close()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, reset_midway, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        connection = await HttpConnection.open("127.0.0.1", port, Millis(1_000))
+        reply = await connection.exchange("GET", "/", HEADERS)
+        assert isinstance(reply, HttpFailure)
+        assert reply.sent
+        nursery.cancel_scope.cancel()
