--- a/packages/firtrestle/firtrestle/backoffs.py
+++ b/packages/firtrestle/firtrestle/backoffs.py
@@ -37,8 +37,8 @@
 
     def record(self, instance: Instance, request_id: str, pause: Millis) -> None:
         """Record that an instance asked for a pause from now on; the longest one holds."""
-        spread = Millis(pause * self._rng.uniform(1.0, 1.0 + MAX_SPREAD_SHARE))
-        until = Millis(self._clock.now() + spread)
+        lengthened = pause * self._rng.uniform(1.0, 1.0 + MAX_SPREAD_SHARE)
+        until = Millis(self._clock.now() + lengthened)
         known = self._until_by_replica.get(instance.replica_id, NO_PAUSE)
         self._until_by_replica[instance.replica_id] = max(known, until)
         logger.bind(
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -180,7 +180,7 @@
         message = call.message
         max_idle = MAX_IDLE_TIME
         refusal = self._refusal()
-        if refusal is not None:  # the instance spoke up while the connection was opened
+        if refusal is not None:  # removed, or asked for a pause, while the connection was opened
             call.finish(refusal)
             self._release_connection(connection, max_idle)
             return
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -287,7 +287,7 @@
         for loser in state.attempts:
             waited = Millis(now - self._awaited_since(loser))
             self._latencies.append(waited)
-            if waited > latency:  # else it is the hedge that lost
+            if waited > latency:  # a hedge that was beaten by an earlier attempt lost no race
                 self._record_lost_race(loser, waited)
             loser.cancel()
         self._latencies.append(latency)
