Don't take a watch that fails at once for current knowledge

Cause: a reader that the store turns away tries its watch again each 0.2 to 0.6 s; each try marked its knowledge as current for 5.5 s, and its failure as current until a second before. Daemons that ask it never found it older than 1.6 s, so that none read for itself.

Red first: test_watches_that_fail_at_once_do_not_keep_knowledge_current.

--- a/packages/firtrestle/firtrestle/registry_readers.py
+++ b/packages/firtrestle/firtrestle/registry_readers.py
@@ -35,6 +35,8 @@
     revision: int
     known_at: Millis
     watched_until: Millis = Millis(0)  # no change is missed while this daemon's watch is open
+    watch_started_at: Millis = Millis(0)
+    needs_proof: bool = False  # a read failed, and none has succeeded since
 
 
 class RegistryProgress:
@@ -59,19 +61,35 @@
         self._update_complete()
 
     def watch_started(self, name: str, max_duration: Millis) -> None:
-        """Record that a watch of a part starts; while it is open, no change is missed."""
+        """Record that a watch of a part starts; while it is open, no change is missed.
+
+        After a failed read that is not known before a read has succeeded: the registry may refuse
+        the watch, or never answer it.
+        """
+        part = self._part_by_name.get(name)
+        if part is not None and not part.needs_proof:
+            part.watch_started_at = self._clock.now()
+            part.watched_until = Millis(part.watch_started_at + max_duration)
+
+    def needs_proof(self, name: str) -> bool:
+        """Return whether the last read of a part failed."""
         part = self._part_by_name.get(name)
-        if part is not None:
-            part.watched_until = Millis(self._clock.now() + max_duration)
+        return part is not None and part.needs_proof
 
     def read_failed(self, name: str) -> None:
-        """Record that a read or watch of a part failed."""
+        """Record that a read or watch of a part failed.
+
+        A watch that was open for long is taken to have worked until shortly before it broke.
+        """
         part = self._part_by_name.get(name)
+        if part is None:
+            return
         now = self._clock.now()
-        if part is not None and part.watched_until > now:
+        was_open_for = now - part.watch_started_at
+        if part.watched_until > now and was_open_for > BROKEN_WATCH_AGE:
             part.known_at = max(part.known_at, Millis(now - BROKEN_WATCH_AGE))
-        if part is not None:
-            part.watched_until = Millis(0)
+        part.watched_until = Millis(0)
+        part.needs_proof = True
 
     def forget(self, name: str) -> None:
         """Require a complete read of a part, as the registry no longer has its history."""
--- a/packages/firtrestle/tests/test_registry_readers.py
+++ b/packages/firtrestle/tests/test_registry_readers.py
@@ -6,12 +6,48 @@
 import pytest
 from firtrestle.clocks import Millis
 from firtrestle.members import Member, MemberStatus
-from firtrestle.registry_readers import MIN_READERS, ReaderRole, RegistryProgress, choose_readers
+from firtrestle.registry_readers import (
+    BROKEN_WATCH_AGE,
+    MIN_READERS,
+    ReaderRole,
+    RegistryProgress,
+    choose_readers,
+)
 from manual_clocks import ManualClock
 
 PARTS = frozenset({"routes", "instances"})
 
 
+def test_watches_that_fail_at_once_do_not_keep_knowledge_current():
+    """Pattern: the store turns a reader away; each retry fails within milliseconds."""
+    clock = ManualClock()
+    progress = RegistryProgress(clock, frozenset({"p"}))
+    progress.advance("p", 7)
+    for _ in range(10):
+        progress.watch_started("p", Millis(5_500))
+        clock.jump(0.002)
+        progress.read_failed("p")
+        clock.jump(0.4)
+    assert progress.age() > 4_000
+    progress.watch_started("p", Millis(5_500))
+    assert progress.age() > 4_000
+    assert progress.needs_proof("p")
+    progress.advance("p", 8)
+    assert not progress.needs_proof("p")
+    assert progress.age() == 0
+
+
+def test_a_long_watch_that_breaks_was_current_until_shortly_before():
+    clock = ManualClock()
+    progress = RegistryProgress(clock, frozenset({"p"}))
+    progress.advance("p", 7)
+    progress.watch_started("p", Millis(5_500))
+    clock.jump(3.0)
+    assert progress.age() == 0
+    progress.read_failed("p")
+    assert progress.age() == BROKEN_WATCH_AGE
+
+
 def member(name, data_centre="a"):
     return Member(name, 1, MemberStatus.ALIVE, data_centre, "h", 1, 2)
 
