Keep the bounds of received messages in one place

The client and the server each had the size of a read and the events of a turn, the client named each kind of excess, and the bound of a reply travelled in the connection's state. Both take the former from receive_bounds, kinds of excess share a base, the bound is an argument, and a pool's refusals are built once. No change of behaviour.

--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -16,19 +16,17 @@
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.isolations import first_leaf
 from firtrestle.receive_bounds import (
+    EVENTS_PER_TURN,
+    READ_BYTES,
+    BodyOverBounds,
     BodyReader,
-    BodyTooFragmented,
-    BodyTooLarge,
-    MemoryUsedUp,
     ReceiveMemory,
 )
 from firtrestle.whole_numbers import parse_whole
 
-CHUNK_BYTES = 16_384  # small, so that the events of one read hold the event loop only briefly
 MAX_HEAD_BYTES = 65_536
 MAX_REPLY_BYTES = 4_000_000
 MAX_INFORMATIONAL_RESPONSES = 16  # before a reply
-EVENTS_PER_TURN = 32  # of one reply, before other tasks get a turn
 BODILESS_STATUSES = frozenset({204, 304})  # replies with these statuses have no body
 KEEP_ALIVE_MARGIN = Millis(500)  # for a request in transit when the server's timeout ends
 DEFAULT_KEEP_ALIVE = Millis(60_000)  # if the server announces no timeout
@@ -121,7 +119,6 @@
         self._host = host
         self._memory = memory
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._max_reply_bytes = MAX_REPLY_BYTES
         self.usable = True
 
     @classmethod
@@ -166,7 +163,6 @@
         The connection is not usable afterwards if the reply came before the whole request was sent
         or if bytes follow the reply.
         """
-        self._max_reply_bytes = max_reply_bytes
         is_reusable = False
         sent = False
         outcome: HttpReply | HttpFailure
@@ -178,10 +174,10 @@
             sent = True
             if len(data) <= MAX_SEND_BEFORE_READ_BYTES:
                 await self._stream.send_all(data)
-                reply = await self._read_reply()
+                reply = await self._read_reply(max_reply_bytes)
                 is_sent = True
             else:
-                reply, is_sent = await self._send_while_reading(data)
+                reply, is_sent = await self._send_while_reading(data, max_reply_bytes)
             has_framing = isinstance(reply, HttpReply) and reply.is_framed()
             is_reusable = has_framing and is_sent and self._start_next_cycle()
             outcome = reply
@@ -193,7 +189,9 @@
             self.usable = is_reusable
         return outcome
 
-    async def _send_while_reading(self, data: bytes) -> tuple[HttpReply | HttpFailure, bool]:
+    async def _send_while_reading(
+        self, data: bytes, max_reply_bytes: int
+    ) -> tuple[HttpReply | HttpFailure, bool]:
         """Return the reply, and whether all bytes had been sent when it arrived."""
         is_sent = False
         reply: HttpReply | HttpFailure = HttpFailure(True, "no reply came")
@@ -205,7 +203,7 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
-            reply = await self._read_reply()
+            reply = await self._read_reply(max_reply_bytes)
             nursery.cancel_scope.cancel()
         return reply, is_sent
 
@@ -222,11 +220,11 @@
         self.usable = False
         await trio.aclose_forcefully(self._stream)
 
-    async def _read_reply(self) -> HttpReply | HttpFailure:
+    async def _read_reply(self, max_bytes: int) -> HttpReply | HttpFailure:
         try:
-            with BodyReader(self._max_reply_bytes, self._memory) as reader:
+            with BodyReader(max_bytes, self._memory) as reader:
                 return await self._read_events(reader)
-        except (BodyTooLarge, BodyTooFragmented, MemoryUsedUp) as error:
+        except BodyOverBounds as error:
             return ReplyOverBounds(True, str(error))
 
     async def _read_events(self, reader: BodyReader) -> HttpReply | HttpFailure:
@@ -236,7 +234,7 @@
         event: Any = h11.NEED_DATA  # nothing of the reply has been received yet
         for number in itertools.count(1):
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._stream.receive_some(CHUNK_BYTES))
+                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -18,6 +18,8 @@
 from firtrestle.isolations import faults
 from firtrestle.problems import problem_response
 from firtrestle.receive_bounds import (
+    EVENTS_PER_TURN,
+    READ_BYTES,
     BodyReader,
     BodyTooFragmented,
     BodyTooLarge,
@@ -26,8 +28,6 @@
 )
 from firtrestle.settings import FrontSettings
 
-CHUNK_BYTES = 16_384  # small, so that the events of one read hold the event loop only briefly
-EVENTS_PER_TURN = 32  # of one request, before other tasks get a turn
 MAX_HEAD_BYTES = 16_384
 STATUS_HEADERS_TOO_LARGE = 431
 
@@ -186,7 +186,7 @@
         with move_on_after(self._bounds.idle_timeout) as scope:
             self._server._idle_scopes.add(scope)
             try:
-                data = await self._stream.receive_some(CHUNK_BYTES)
+                data = await self._stream.receive_some(READ_BYTES)
             finally:
                 self._server._idle_scopes.discard(scope)
         if scope.cancelled_caught or not data:
@@ -221,7 +221,7 @@
                 if self._http.they_are_waiting_for_100_continue:
                     continue_response = h11.InformationalResponse(status_code=100, headers=[])
                     await self._stream.send_all(self._http.send(continue_response))
-                self._http.receive_data(await self._stream.receive_some(CHUNK_BYTES))
+                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
             elif isinstance(event, h11.Request):
                 head = event
                 self._method = event.method.decode()
@@ -254,7 +254,7 @@
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
         try:
-            data = await self._stream.receive_some(CHUNK_BYTES)
+            data = await self._stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             data = b""
         if data:
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -44,7 +44,8 @@
 
 
 _GONE = unsent_reply(SubOutcome.DRAINING, "the instance is gone")
-_PAUSED = unsent_reply(SubOutcome.SHED, "the instance asked for a pause")
+LEAVING = unsent_reply(SubOutcome.DRAINING, "the instance is leaving")
+PAUSED = unsent_reply(SubOutcome.SHED, "the instance asked for a pause")
 
 
 @dataclass(slots=True, eq=False)
@@ -218,7 +219,7 @@
         """Return the reply to a call that must not be sent now, None for others."""
         if self._closed:
             return _GONE
-        return _PAUSED if self._backoffs.left(self.instance.replica_id) else None
+        return PAUSED if self._backoffs.left(self.instance.replica_id) else None
 
     async def _acquire_connection(self, call: InstanceCall) -> HttpConnection | InstanceReply:
         while True:
@@ -325,11 +326,11 @@
                 self._replies_over_bounds_before += pool.replies_over_bounds
                 pool.close()
 
-    def refuse_waiting(self, replica_id: ReplicaId, outcome: SubOutcome, reason: str) -> None:
+    def refuse_waiting(self, replica_id: ReplicaId, refusal: InstanceReply) -> None:
         """Answer the calls that wait for a connection to an instance, none of which was sent."""
         pool = self._pool_by_id.get(replica_id)
         if pool is not None:
-            pool.refuse_waiting(unsent_reply(outcome, reason))
+            pool.refuse_waiting(refusal)
 
     def close_stale(self) -> None:
         """Close stale idle connections in all pools."""
--- a/packages/firtrestle/firtrestle/receive_bounds.py
+++ b/packages/firtrestle/firtrestle/receive_bounds.py
@@ -4,6 +4,8 @@
 
 from types import TracebackType
 
+READ_BYTES = 16_384  # small, so that the events of one read hold the event loop only briefly
+EVENTS_PER_TURN = 32  # of one message, before other tasks get a turn
 # A piece is a chunk, or what one read returned; each costs processor time, however small it is.
 FREE_PIECES = 1_024
 MIN_PIECE_BYTES = 128  # least mean size of the pieces beyond the free ones
@@ -29,15 +31,19 @@
         self.used_bytes -= size
 
 
-class MemoryUsedUp(Exception):
+class BodyOverBounds(Exception):
+    """Report that a body exceeds one of its bounds."""
+
+
+class MemoryUsedUp(BodyOverBounds):
     """Report that unfinished messages hold all the memory that is set aside for them."""
 
 
-class BodyTooLarge(Exception):
-    """Report that a body exceeds its bound."""
+class BodyTooLarge(BodyOverBounds):
+    """Report that a body has too many bytes."""
 
 
-class BodyTooFragmented(Exception):
+class BodyTooFragmented(BodyOverBounds):
     """Report that a body comes in too many small pieces."""
 
 
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -17,7 +17,7 @@
 from firtrestle.departures import Departures
 from firtrestle.events import EventKind
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
-from firtrestle.instance_pools import InstancePools, PoolTools
+from firtrestle.instance_pools import LEAVING, PAUSED, InstancePools, PoolTools
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
 from firtrestle.isolations import faults
@@ -27,7 +27,6 @@
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.members import Members
 from firtrestle.messages import Done, Ping, PingFor, Pull
-from firtrestle.outcomes import SubOutcome
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import FINISHED, Cancellable, PeerAddress, PeerClients, PeerFailure
@@ -353,9 +352,7 @@
             self._backoffs.record(instance, message.request_id, reply.retry_after)
             if self.instances.get(instance.replica_id) is not None:
                 self._replicas.get(instance.replica_id).limit_return()
-            self._pools.refuse_waiting(
-                instance.replica_id, SubOutcome.SHED, "the instance asked for a pause"
-            )
+            self._pools.refuse_waiting(instance.replica_id, PAUSED)
 
     def _on_departure(self, replica_id: ReplicaId) -> None:
         self.instances.refresh()
@@ -371,9 +368,7 @@
         serving = self.instances.serving(instance.service)
         has_other = any(other.id != instance.id for other in serving)
         if has_other or not self._departures.is_last_resort(instance.replica_id):
-            self._pools.refuse_waiting(
-                instance.replica_id, SubOutcome.DRAINING, "the instance is leaving"
-            )
+            self._pools.refuse_waiting(instance.replica_id, LEAVING)
 
     def _remove_replicas(self, replica_ids: set[ReplicaId]) -> None:
         for replica_id in replica_ids:
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -10,6 +10,7 @@
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import (
     CANCELLED_REPLY_TIMEOUT,
+    PAUSED,
     InstanceCall,
     InstancePools,
     PoolTools,
@@ -156,7 +157,7 @@
         await fixture.wait_until(lambda: fixture.pools.waiting == 5)
         replica_id = fixture.instance.replica_id
         fixture.backoffs.record(fixture.instance, "r", Millis(60_000))
-        fixture.pools.refuse_waiting(replica_id, SubOutcome.SHED, "paused")
+        fixture.pools.refuse_waiting(replica_id, PAUSED)
         await fixture.wait_until(lambda: len(fixture.replies) == 5)
         fixture.start("/later")
         fixture.gate.set()
