--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -32,6 +32,7 @@
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
 from firtrestle.receive_bounds import ReceiveMemory
+from firtrestle.registry_readers import RegistryProgress
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
@@ -130,9 +131,9 @@
     )
     terms = {name: ServiceTerms(name, CONNECTION_LIMIT) for name in names}
     table = RouteTable.from_routes(1, [route], terms, RouteTable().limits)
-    initial_state_read = trio.Event()
-    initial_state_read.set()
-    return RouteFront(RouteState(table), tools, PlatformCallerCodec(), rng, initial_state_read)
+    progress = RegistryProgress(tools.clock, frozenset())
+    progress.complete.set()
+    return RouteFront(RouteState(table), tools, PlatformCallerCodec(), rng, progress)
 
 
 def build_request(number: int) -> HttpRequest:
--- a/packages/firtrestle/firtrestle/registry_readers.py
+++ b/packages/firtrestle/firtrestle/registry_readers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -99,7 +100,12 @@
         """Return the age of the least current part; infinite while a part is unknown."""
         if not self._expected <= self._part_by_name.keys():
             return Millis(float("inf"))
-        return Millis(max(self._age_of(part) for part in self._part_by_name.values()))
+        return Millis(max((self._age_of(part) for part in self._part_by_name.values()), default=0))
+
+    def logged_age(self) -> int | None:
+        """Return the age in whole ms for a log line, None while a part is unknown."""
+        age = self.age()
+        return round(age) if math.isfinite(age) else None
 
     def to_wire(self) -> dict[str, list[float]]:
         """Return [revision, age in ms] by part, for a peer that has just been synchronized."""
@@ -192,7 +198,7 @@
         )
         if not chosen and age > self._max_age and now >= self._own_reads_until:
             self._own_reads_until = Millis(now + OWN_READ_PERIOD)
-        self._set_active(chosen or now < self._own_reads_until, chosen, age)
+        self._set_active(chosen or now < self._own_reads_until, chosen)
         if chosen or age < REFRESH_AGE:
             self._asked_ids.clear()
             return None
@@ -210,10 +216,10 @@
             self._asked_ids.clear()
         return untried[0]
 
-    def _set_active(self, active: bool, chosen: bool, age: Millis) -> None:
+    def _set_active(self, active: bool, chosen: bool) -> None:
         if active == self._active.is_set():
             return
-        logger.bind(reads=active, chosen=chosen, age_ms=min(round(age, 1), 1e9)).info(
+        logger.bind(reads=active, chosen=chosen, age_ms=self._progress.logged_age()).info(
             "registry read by this daemon" if active else "registry read by others"
         )
         if active:
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -139,9 +139,9 @@
         self._publisher = publisher = SourcePublisher(
             self.items, self.instances, self._progress, source.instances_part, self._apply_routes
         )
-        self.front = RouteFront(self.state, tools, caller_codec, rng, self._progress.complete)
+        self.front = RouteFront(self.state, tools, caller_codec, rng, self._progress)
         self._source = source.from_config(
-            settings, SourceTools(publisher, self._progress, self._reader_role, rng)
+            settings, SourceTools(publisher, self._progress, self._reader_role, rng, clock)
         )
         publisher.start(self._source.parse_routes)
         front = settings.front
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-import trio
 from loguru import logger
 
 from firtrestle import signals
@@ -15,6 +14,7 @@
 from firtrestle.errors import ErrorKind, Refused
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.instance_replies import CallerMessage
+from firtrestle.registry_readers import RegistryProgress
 from firtrestle.routes import RouteTable
 from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
 
@@ -68,9 +68,9 @@
         tools: ServiceTools,
         codec: CallerCodec,
         rng: random.Random,
-        initial_state_read: trio.Event,
+        progress: RegistryProgress,
     ) -> None:
-        self._initial_state_read = initial_state_read
+        self._progress = progress
         self.state = state
         self._tools = tools
         self._codec = codec
@@ -96,9 +96,9 @@
 
     async def _answer(self, request: DecodedRequest, arrived_at: Millis) -> HttpResponse:
         request_id = request.message.request_id
-        if not self._initial_state_read.is_set():
+        if not self._progress.complete.is_set():
             with move_on_after(MAX_STARTUP_WAIT):
-                await self._initial_state_read.wait()
+                await self._progress.complete.wait()
         table = self.state.table
         if table.version == 0:
             refused = Refused(ErrorKind.NOT_READY, retry_after=Millis(500))
@@ -147,6 +147,7 @@
             request_id=request_id,
             route=routed.route.name,
             version=routed.table.version,
+            registry_age_ms=self._progress.logged_age(),
             status=answer.status,
             missing=answer.missing,
             left_out={name: str(reason) for name, reason in summary.reason_by_service.items()},
@@ -172,6 +173,7 @@
             request_id=request_id,
             route=route_name,
             version=self.state.table.version,
+            registry_age_ms=self._progress.logged_age(),
             kind=str(refused.kind),
             ran=str(refused.ran),
             detail=refused.detail,
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from firtrestle.clocks import Millis
+from firtrestle.clocks import Clock, Millis
 from firtrestle.gossip_maps import GossipMap, Item
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping, Pong
@@ -32,6 +32,7 @@
     progress: RegistryProgress
     reader_role: ReaderRole
     rng: random.Random
+    clock: Clock
 
 
 @dataclass(frozen=True, slots=True)
