--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -149,9 +149,9 @@
         description="time in which an instance that announced its departure takes requests, ms",
     )
     watch_ms: int = Field(
-        4_000,
+        12_000,
         ge=100,
-        description="timeout of one long poll, after which an unresponsive one is noticed, ms",
+        description="timeout of one long poll; the registry must keep its history for longer, ms",
     )
     retry_ms: int = Field(400, ge=10, description="mean pause before a failed read is retried, ms")
     grace_ms: int = Field(6_000, ge=600, description="time from SIGTERM to SIGKILL, ms")
