Decode and log the rate limits that instances name

Nothing in the logs told that an instance had named a limit, so whether the header is ignored, obeyed by first tries only, or by each daemon for itself could not be told apart. Each change is a log line with the request whose reply brought it; firtrestle_instances_limited counts them. No decision changes.

--- a/packages/firtrestle/firtrestle/instance_replies.py
+++ b/packages/firtrestle/firtrestle/instance_replies.py
@@ -46,6 +46,7 @@
     reason: str = ""
     leaving: bool = False  # the instance announced its departure
     retry_after: Millis | None = None  # how long the instance wants no requests from this daemon
+    rate_limit: float | None = None  # requests a second that it takes from all daemons together
 
 
 class InstanceCodec(Protocol):
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -63,6 +63,11 @@
     "Instances that asked this daemon for a pause that is not over",
     registry=REGISTRY,
 )
+LIMITED = Gauge(
+    "firtrestle_instances_limited",
+    "Instances that name the rate of requests that they take",
+    registry=REGISTRY,
+)
 REPEATS_LEFT = Gauge(
     "firtrestle_repeats_left",
     "Repeats that a window still allows",
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -30,6 +30,7 @@
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import FINISHED, Cancellable, PeerAddress, PeerClients, PeerFailure
+from firtrestle.rate_limits import RateLimits
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.registry_readers import ReaderRole, RegistryProgress
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
@@ -89,6 +90,7 @@
         self._peer_server = PeerServer(self._serve_peer, _refuse_sub_request)
         self._replicas = Replicas(clock)
         self._backoffs = Backoffs(clock, rng)
+        self._rate_limits = RateLimits(clock)
         memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
         reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
         self._pools = InstancePools(
@@ -191,6 +193,7 @@
             self.instances.expire()
             self._departures.expire()
             self._backoffs.expire()
+            self._rate_limits.expire()
             self._slow_reports.expire()
             self._crashes.expire()
             self._pools.close_stale()
@@ -305,6 +308,7 @@
         metrics.REPORTED_SLOW.set(self._slow_reports.slow_count())
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
+        metrics.LIMITED.set(self._rate_limits.count())
         for service, repeats_left in self._budgets.remaining_by_service().items():
             metrics.REPEATS_LEFT.labels(service).set(repeats_left)
         return metrics.exposition()
@@ -348,6 +352,10 @@
         """Take in what an instance says of itself in a reply, also in one no longer awaited."""
         if reply.leaving:
             self._departures.record(instance, message.request_id, reply.status)
+        if reply.rate_limit is not None:
+            self._rate_limits.record(instance, message.request_id, reply.rate_limit)
+        elif reply.may_have_run:
+            self._rate_limits.lift(instance, message.request_id)
         if reply.retry_after:
             self._backoffs.record(instance, message.request_id, reply.retry_after)
             if self.instances.get(instance.replica_id) is not None:
