Keep to the rates that instances name, over all daemons together

Cause: nothing obeyed the limit.

Change: the limit is divided evenly among the daemons that use the instance. Each has permits at equal distances from a random moment on, which expire after 1.5 s; first tries, hedges and retries need one. Nothing is shared between daemons, so cuts and kills can't raise the sum. A service without permits is left out of a gather, or refused unsent with the time of the next permit.

--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -31,6 +31,7 @@
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
+from firtrestle.rate_limits import RateLimits
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.registry_readers import RegistryProgress
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
@@ -112,6 +113,7 @@
         subsets=ReplicaSubsets("d1", "dc"),
         crashes=CrashRecords(items, clock),
         backoffs=backoffs,
+        rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
         slow_reports=SlowReports(clock, instances.count, lambda *_: None),
         loop=loop,
         data_centre="dc",
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -47,6 +47,7 @@
 HOUSEKEEPING_INTERVAL = Millis(500)
 SLOW_REPORTS_INTERVAL = Millis(200)
 SLOW_REPORTS_PARTNERS = (2, 1)  # in this data centre, and in others, where bytes are scarce
+FLEET_DISCOVERY_TIME = Millis(2_000)  # after a start; until then a daemon may know few others
 LATE_PLUGINS_DELAY = Millis(3_000)  # so that imports do not delay the first answers after a start
 EXIT_RESERVE = Millis(500)  # part of the grace period kept for the process to exit before SIGKILL
 FLUSH_DELAY = Millis(50)  # lets the last answers reach the network before the process exits
@@ -69,6 +70,7 @@
         super().__init__(settings, kernel, nursery)
         self._settings_file = settings_file
         clock, rng = self.clock, self._rng
+        self._started_at = clock.now()
         source = kernel.sources.get(settings.routes.source)
         caller_codec, instance_codec = kernel.codecs[settings.routes.source]
         self._clients = PeerClients(nursery)
@@ -90,7 +92,7 @@
         self._peer_server = PeerServer(self._serve_peer, _refuse_sub_request)
         self._replicas = Replicas(clock)
         self._backoffs = Backoffs(clock, rng)
-        self._rate_limits = RateLimits(clock)
+        self._rate_limits = RateLimits(clock, rng, self._count_users)
         memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
         reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
         self._pools = InstancePools(
@@ -129,6 +131,7 @@
             subsets=self._subsets,
             crashes=self._crashes,
             backoffs=self._backoffs,
+            rate_limits=self._rate_limits,
             slow_reports=self._slow_reports,
             loop=self._loop,
             data_centre=settings.daemon.data_centre,
@@ -225,6 +228,16 @@
         min_fleet_size = self.settings.routes.least_fleet_size
         self._budgets.fleet_size = max(len(known), min_fleet_size)
 
+    def _count_users(self, instance: Instance) -> float:
+        """Return how many daemons are expected to use an instance, this one included."""
+        daemons = self._subsets.fleet.daemons
+        if self.clock.now() - self._started_at < FLEET_DISCOVERY_TIME:
+            daemons = max(daemons, self.settings.routes.least_fleet_size)
+        replicas = max(1, len(self.instances.serving(instance.service)))
+        terms = self.state.table.terms_by_service.get(instance.service)
+        plan = self._subsets.plan(terms.connection_limit if terms is not None else 0, replicas)
+        return max(1.0, daemons * min(1.0, plan.subset_size / replicas))
+
     async def _load_late_plugins(self) -> None:
         """Import plug-ins that answers do not need, in a worker thread after the start."""
         await sleep(LATE_PLUGINS_DELAY)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -24,6 +24,7 @@
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
+from firtrestle.rate_limits import RateLimits
 from firtrestle.repeat_budgets import RepeatBudgets
 from firtrestle.replica_choosers import ReplicaChooser
 from firtrestle.replica_subsets import ReplicaSubsets
@@ -47,6 +48,8 @@
 MAX_HEDGE_DELAY_SHARE = 0.5  # share of the latency target; later hedges reply too late
 MAX_RETURN_SPREAD = 1.5  # longest time to come back, as a ratio of the pause that it follows from
 ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
+# A shard given up for one of these was refused by all instances that could be asked.
+UNSENT_REASONS = frozenset({SubOutcome.NO_REPLICA, SubOutcome.SHED})
 MIN_CLOSED_SHARDS_SHARE = 0.7  # below it, late replies point to a slow daemon, not slow replicas
 
 
@@ -65,6 +68,7 @@
     subsets: ReplicaSubsets
     crashes: CrashRecords
     backoffs: Backoffs
+    rate_limits: RateLimits
     slow_reports: SlowReports
     loop: LoopMonitor
     data_centre: str
@@ -205,13 +209,14 @@
 
     def _pause_of(self, service: str) -> Millis:
         """Return how long all instances of a service want no requests, 0 if one takes some."""
-        if self._tools.backoffs.is_empty:
+        if self._tools.backoffs.is_empty and self._tools.rate_limits.is_empty:
             return NO_PAUSE
         serving = self._tools.serving(service)
-        return min(
-            (self._tools.backoffs.left(instance.replica_id) for instance in serving),
-            default=NO_PAUSE,
-        )
+        return min((self._wait_for(instance.replica_id) for instance in serving), default=NO_PAUSE)
+
+    def _wait_for(self, replica_id: ReplicaId) -> Millis:
+        """Return how long an instance wants no request from this daemon, 0 if it takes one."""
+        return max(self._tools.backoffs.left(replica_id), self._tools.rate_limits.wait(replica_id))
 
     def _send_first(self) -> None:
         """Send to each shard, unless those without a usable instance are too many for an answer.
@@ -231,6 +236,10 @@
         chosen = self._tools.subsets.choose(
             serving, self._connection_limit(service), self._is_healthy
         )
+        if not self._tools.rate_limits.is_empty and all(
+            self._wait_for(instance.replica_id) for instance in chosen
+        ):
+            chosen = list(serving)
         return [instance.replica_id for instance in chosen]
 
     def _is_healthy(self, instance: Instance) -> bool:
@@ -266,6 +275,7 @@
         if instance is None:
             call.finish(InstanceReply(SubOutcome.UNREACHABLE, reason="the instance is gone"))
             return call
+        self._tools.rate_limits.spend(instance.replica_id)
         replicas = len(self._tools.instances.serving(instance.service))
         plan = self._tools.subsets.plan(self._connection_limit(instance.service), replicas)
         return self._tools.pools.start(instance, call, plan.connections)
@@ -305,7 +315,7 @@
             self._log_ejection(loser, waited)
 
     def _has_capacity(self, replica: Replica) -> bool:
-        return replica.has_capacity() and not self._tools.backoffs.left(replica.id)
+        return replica.has_capacity() and not self._wait_for(replica.id)
 
     def _record_overdue(self, state: ShardState) -> None:
         """Record as overdue a shard's attempts that are still open, and old enough, at the end."""
@@ -385,7 +395,7 @@
 
     def _record_missing(self, shard: int, reason: SubOutcome) -> None:
         service = self._services[shard]
-        pause = self._pause_of(service)
+        pause = self._pause_of(service) if reason in UNSENT_REASONS else NO_PAUSE
         if pause:
             self._pause_by_service[service] = pause
             reason = SubOutcome.SHED
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -20,6 +20,7 @@
 from firtrestle.outcomes import SubOutcome
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
+from firtrestle.rate_limits import RateLimits
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
@@ -183,6 +184,7 @@
                 subsets=ReplicaSubsets("d1", "dc"),
                 crashes=CrashRecords(GossipMap(), clock),
                 backoffs=backoffs,
+                rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
                 slow_reports=SlowReports(clock, instances.count, lambda replica_id, until: None),
                 loop=FakeLoop(),
                 data_centre="dc",
--- a/packages/firtrestle/tests/test_load_patterns.py
+++ b/packages/firtrestle/tests/test_load_patterns.py
@@ -8,6 +8,7 @@
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
 from firtrestle.crash_records import message_fingerprint
+from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.instance_replies import CallerMessage
 from firtrestle.replica_subsets import FleetSize
 from route_fakes import (
@@ -289,3 +290,72 @@
         return 5, lost()
 
     run_with_harness(behave, body, services=36)
+
+
+def limit_rates(harness, service, rate):
+    """Let all instances of a service name a limit to the daemon."""
+    for instance in harness.tools.serving(service):
+        harness.tools.rate_limits.record(instance, "r", rate)
+
+
+def test_a_shard_whose_instances_all_limit_their_rate_is_left_out_of_what_they_do_not_take():
+    """The load pattern "capped": 100 requests a second meet three instances that take 10 each."""
+
+    async def body(harness):
+        limit_rates(harness, "s0", 10.0)
+        missing = []
+        for _ in range(400):
+            before = harness.tools.clock.now()
+            answer, _ = await harness.ask(scatter_route(10))
+            missing.append(answer.missing)
+            assert harness.tools.clock.now() - before < 20
+            await sleep(Millis(5))
+        seconds = 400 * 0.010
+        sent = sum(id_.startswith("s0-") for id_ in harness.pools.sent)
+        assert 0.8 * 30 * seconds <= sent <= 30 * seconds + 45
+        assert missing.count(1) == 400 - sent
+        assert set(missing) <= {0, 1}
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_hedges_and_retries_keep_to_the_rates_that_instances_name():
+    """Instances that limit their rate are late or shed at the same time."""
+
+    def behave(instance, nth):
+        return (5, shed()) if nth % 2 else (math.inf, good(instance))
+
+    async def body(harness):
+        limit_rates(harness, "s0", 2.0)
+        for _ in range(50):
+            await harness.ask(scatter_route(1), time_left=100)
+            await sleep(Millis(20))
+        assert len(harness.pools.sent) <= 3 * 2.0 * (50 * 0.120) + 9
+
+    run_with_harness(behave, body, services=1)
+
+
+def test_a_request_beyond_the_rates_of_a_service_is_refused_unsent_with_a_time_to_return():
+    async def body(harness):
+        limit_rates(harness, "s0", 0.5)
+        results = [(await harness.ask(plain_route()))[0] for _ in range(20)]
+        refused = [result for result in results if isinstance(result, Refused)]
+        assert len(refused) >= 17
+        for result in refused:
+            assert (result.kind, result.ran) == (ErrorKind.OVERLOADED, Ran.FALSE)
+            assert 0 < result.retry_after <= 2_000 * 1.5
+        assert len(harness.pools.sent) == 20 - len(refused)
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body, services=1)
+
+
+def test_too_few_shards_within_their_rates_refuse_a_request_before_anything_is_sent():
+    async def body(harness):
+        for service in ("s0", "s1", "s2"):
+            limit_rates(harness, service, 0.001)
+        result, _ = await harness.ask(scatter_route(10))
+        assert isinstance(result, Refused)
+        assert result.ran is Ran.FALSE
+        assert harness.pools.sent == []
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
