--- a/packages/firtrestle/firtrestle/platforms.py
+++ b/packages/firtrestle/firtrestle/platforms.py
@@ -83,7 +83,10 @@
         while True:
             if not self._is_reader():
                 await sleep(ROLE_CHECK_INTERVAL)
-            elif not await self._read(Millis(self._settings.watch_ms)):
+                continue
+            is_read = await self._read(Millis(self._settings.watch_ms))
+            # A poll may be lost while the service answers new calls.
+            if not is_read and not await self._read(Millis(0)):
                 await self._back_off()
 
     async def read_now(self) -> bool:
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -56,7 +56,11 @@
     vm_list: str = Field(
         "", description="IP:port of the VM list service; unused with a route source"
     )
-    watch_ms: int = Field(60_000, ge=100, description="timeout of one long poll, ms")
+    watch_ms: int = Field(
+        6_000,
+        ge=100,
+        description="timeout of one long poll, in which a lost one goes unnoticed, ms",
+    )
     retry_ms: int = Field(
         5_000, ge=10, description="mean pause before a failed read is retried, ms"
     )
