--- a/packages/firtrestle-client/firtrestle_client/explanations.py
+++ b/packages/firtrestle-client/firtrestle_client/explanations.py
@@ -14,8 +14,12 @@
     {
         "desired state in force",
         "instance barred",
+        "instance lifts its limit",
+        "instance limits its rate",
         "instance removed",
         "registration lapsed, kept",
+        "registry read failed",
+        "registry watch given up after a check",
         "store lost",
         "store reached",
         "started",
