Grant nothing to an instance whose limit falls to 0 after an idle time

A limit of 0 made the distance of permits infinite, and permits that had expired before were then moved on by 0 times that, which is no number and counted as 'now': the limit held nothing back. Only limits of 0 take the new branch.

--- a/packages/firtrestle/firtrestle/rate_limits.py
+++ b/packages/firtrestle/firtrestle/rate_limits.py
@@ -41,7 +41,9 @@
 
     def change_interval(self, interval: Millis, now: Millis) -> None:
         """Space the permits anew; the wait for the next one changes in proportion."""
-        if self.next_at > now:
+        if math.isinf(interval):
+            self.next_at = interval
+        elif self.next_at > now:
             factor = 1.0 if math.isinf(self.interval) else interval / self.interval
             left = min(Millis(self.next_at - now), self.interval)
             self.next_at = Millis(now + min(left * factor, interval))
--- a/packages/firtrestle/firtrestle/registry_watches.py
+++ b/packages/firtrestle/firtrestle/registry_watches.py
@@ -93,6 +93,7 @@
         tools: FollowerTools,
     ) -> None:
         self.watches_given_up = 0
+        self.reachable: bool | None = None  # None before the first call
         self._name = name
         self._watcher = connect()
         self._checker = connect()
@@ -102,7 +103,6 @@
         self._clock = tools.clock
         self._rng = tools.rng
         self._settings = tools.settings
-        self.reachable: bool | None = None
 
     async def run(self) -> None:
         """Follow the part forever; read it completely if the registry lost its history."""
--- a/packages/firtrestle/tests/test_rate_limits.py
+++ b/packages/firtrestle/tests/test_rate_limits.py
@@ -114,6 +114,19 @@
     assert limits.count() == 0
 
 
+# Guards against a limit of nothing that is taken for no limit.
+def test_a_limit_that_falls_to_nothing_after_an_idle_time_grants_nothing():
+    fleet = Fleet(1, demand=0.0, rate=10.0)
+    limits = fleet.daemons[0]
+    fleet.tell_all()
+    fleet.run(5)
+    limits.record(INSTANCE, "r", 0.0)
+    fleet.run(5)
+    assert limits.wait(INSTANCE.replica_id) == RETENTION - 5_000
+    limits.record(INSTANCE, "r", 10.0)
+    assert limits.wait(INSTANCE.replica_id) <= 100
+
+
 def test_a_raised_limit_shortens_the_wait_and_a_lowered_one_lengthens_it():
     fleet = Fleet(1, demand=0.0, rate=0.1)
     limits = fleet.daemons[0]
