Keep the connection limit of a service and the users of an instance in one place each

The daemon looked up a service's connection limit as each gather did, and derived from the connection plan how many daemons use an instance. The look-up is the route table's now, the number that of the subsets, where it has a test. No change of behaviour.

--- a/packages/firtrestle/firtrestle/replica_subsets.py
+++ b/packages/firtrestle/firtrestle/replica_subsets.py
@@ -65,6 +65,16 @@
         """Return this daemon's connection plan, given the daemons that may be up."""
         return connection_plan(limit, replicas, self.fleet.daemons)
 
+    def expected_users(self, limit: int, replicas: int, least_daemons: int) -> float:
+        """Return how many daemons are expected to have an instance in their subset.
+
+        `least_daemons` is the number of daemons to reckon with while few are known.
+        """
+        daemons = max(self.fleet.daemons, least_daemons)
+        replicas = max(1, replicas)  # an instance that no longer serves may still be asked
+        used_share = min(1.0, self.plan(limit, replicas).subset_size / replicas)
+        return max(1.0, daemons * used_share)
+
     def choose(
         self,
         serving: tuple[Instance, ...],
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -230,13 +230,12 @@
 
     def _count_users(self, instance: Instance) -> float:
         """Return how many daemons are expected to use an instance, this one included."""
-        daemons = self._subsets.fleet.daemons
-        if self.clock.now() - self._started_at < FLEET_DISCOVERY_TIME:
-            daemons = max(daemons, self.settings.routes.least_fleet_size)
-        replicas = max(1, len(self.instances.serving(instance.service)))
-        terms = self.state.table.terms_by_service.get(instance.service)
-        plan = self._subsets.plan(terms.connection_limit if terms is not None else 0, replicas)
-        return max(1.0, daemons * min(1.0, plan.subset_size / replicas))
+        is_discovering = self.clock.now() - self._started_at < FLEET_DISCOVERY_TIME
+        return self._subsets.expected_users(
+            self.state.table.connection_limit(instance.service),
+            len(self.instances.serving(instance.service)),
+            self.settings.routes.least_fleet_size if is_discovering else 1,
+        )
 
     async def _load_late_plugins(self) -> None:
         """Import plug-ins that answers do not need, in a worker thread after the start."""
--- a/packages/firtrestle/firtrestle/routes.py
+++ b/packages/firtrestle/firtrestle/routes.py
@@ -132,6 +132,11 @@
                 return route
         return None
 
+    def connection_limit(self, service: str) -> int:
+        """Return an instance's connection limit over all daemons, 0 if unlimited."""
+        terms = self.terms_by_service.get(service)
+        return terms.connection_limit if terms is not None else 0
+
     def services(self) -> set[str]:
         """Return every service that some route may use."""
         all_routes = (route for routes in self.routes_by_host.values() for route in routes)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -234,7 +234,7 @@
         service = self._services[shard]
         serving = self._tools.serving(service)
         chosen = self._tools.subsets.choose(
-            serving, self._connection_limit(service), self._is_healthy
+            serving, self._request.table.connection_limit(service), self._is_healthy
         )
         if not self._tools.rate_limits.is_empty and all(
             self._wait_for(instance.replica_id) for instance in chosen
@@ -253,11 +253,6 @@
             and not self._tools.backoffs.left(instance.replica_id)
         )
 
-    def _connection_limit(self, service: str) -> int:
-        """Return an instance's connection limit over all daemons, 0 if unlimited."""
-        terms = self._request.table.terms_by_service.get(service)
-        return terms.connection_limit if terms is not None else 0
-
     def _next_attempt_number(self) -> int:
         return next(self._numbers)
 
@@ -277,7 +272,8 @@
             return call
         self._tools.rate_limits.spend(instance.replica_id)
         replicas = len(self._tools.instances.serving(instance.service))
-        plan = self._tools.subsets.plan(self._connection_limit(instance.service), replicas)
+        limit = self._request.table.connection_limit(instance.service)
+        plan = self._tools.subsets.plan(limit, replicas)
         return self._tools.pools.start(instance, call, plan.connections)
 
     def _checked_outcome(self, attempt: Attempt, reply: InstanceReply) -> SubOutcome:
--- a/packages/firtrestle/tests/test_replica_subsets.py
+++ b/packages/firtrestle/tests/test_replica_subsets.py
@@ -104,3 +104,21 @@
 
 def test_a_service_without_instances_has_an_empty_subset():
     assert daemons(1)[0].choose((), 62, lambda candidate: True) == []
+
+
+@pytest.mark.parametrize(
+    ("fleet_size", "limit", "replicas", "least", "users"),
+    [
+        (9, 31, 3, 1, 9),
+        (195, 125, 3, 1, 130),
+        (1, 0, 3, 16, 16),
+        (9, 31, 0, 1, 9),
+        (0, 31, 3, 1, 1),
+    ],
+)
+def test_the_expected_users_of_an_instance_follow_from_the_subsets(
+    fleet_size, limit, replicas, least, users
+):
+    subsets = ReplicaSubsets("d1", "a")
+    subsets.fleet = FleetSize(fleet_size, 1)
+    assert subsets.expected_users(limit, replicas, least) == pytest.approx(users)
