--- a/packages/firtrestle/firtrestle/registry_watches.py
+++ b/packages/firtrestle/firtrestle/registry_watches.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -10,8 +9,8 @@
 import trio
 from loguru import logger
 
-from firtrestle.clocks import Clock, Millis, sleep
-from firtrestle.registry_readers import ReaderRole, RegistryProgress
+from firtrestle.clocks import Millis, sleep
+from firtrestle.route_sources import SourceTools
 from firtrestle.settings import RouteSettings
 
 # Collects a series of changes into few calls; changes need to be in force only within seconds.
@@ -67,17 +66,6 @@
         """
 
 
-@dataclass(frozen=True, slots=True)
-class FollowerTools:
-    """Group what the followers of all parts of a registry share."""
-
-    progress: RegistryProgress
-    reader_role: ReaderRole
-    clock: Clock
-    rng: random.Random
-    settings: RouteSettings
-
-
 class PartFollower:
     """Read one part of a registry once, then watch it, while this daemon is a reader.
 
@@ -90,7 +78,8 @@
         name: str,
         connect: Callable[[], RegistryClient],
         publish: Callable[[RegistryUpdates, bool], None],
-        tools: FollowerTools,
+        tools: SourceTools,
+        settings: RouteSettings,
     ) -> None:
         self.watches_given_up = 0
         self.reachable: bool | None = None  # None before the first call
@@ -102,7 +91,7 @@
         self._reader_role = tools.reader_role
         self._clock = tools.clock
         self._rng = tools.rng
-        self._settings = tools.settings
+        self._settings = settings
 
     async def run(self) -> None:
         """Follow the part forever; read it completely if the registry lost its history."""
--- a/packages/firtrestle/tests/test_registry_watches.py
+++ b/packages/firtrestle/tests/test_registry_watches.py
@@ -8,12 +8,12 @@
 from firtrestle.members import Member, MemberStatus
 from firtrestle.registry_readers import CHECK_AGE, ReaderRole, RegistryProgress
 from firtrestle.registry_watches import (
-    FollowerTools,
     PartFollower,
     RegistryFailure,
     RegistryItem,
     RegistryUpdates,
 )
+from firtrestle.route_sources import SourceTools
 from firtrestle.settings import RouteSettings
 
 PART = "p"
@@ -90,8 +90,10 @@
         self.role = ReaderRole(
             self.progress, FakeMembers(self.me, fleet), clock, rng, lambda is_reachable: None
         )
-        tools = FollowerTools(self.progress, self.role, clock, rng, SETTINGS)
-        self.follower = PartFollower(PART, lambda: FakeClient(registry), self.publish, tools)
+        tools = SourceTools(None, self.progress, self.role, rng, clock)
+        self.follower = PartFollower(
+            PART, lambda: FakeClient(registry), self.publish, tools, SETTINGS
+        )
 
     def publish(self, updates, is_complete_read):
         self.held = max(self.held, updates.revision)
