Don't look up waits for each replica while no instance holds requests back

The check of capacity, made for each replica of each shard of a gather, asked both records of waits though both are empty as a rule. The condition has one name for its two users. No change of behaviour.

--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -209,13 +209,20 @@
 
     def _pause_of(self, service: str) -> Millis:
         """Return how long all instances of a service want no requests, 0 if one takes some."""
-        if self._tools.backoffs.is_empty and self._tools.rate_limits.is_empty:
+        if not self._some_hold_back:
             return NO_PAUSE
         serving = self._tools.serving(service)
         return min((self._wait_for(instance.replica_id) for instance in serving), default=NO_PAUSE)
 
+    @property
+    def _some_hold_back(self) -> bool:
+        """Return whether any instance may want no request from this daemon now."""
+        return not (self._tools.backoffs.is_empty and self._tools.rate_limits.is_empty)
+
     def _wait_for(self, replica_id: ReplicaId) -> Millis:
         """Return how long an instance wants no request from this daemon, 0 if it takes one."""
+        if not self._some_hold_back:
+            return NO_PAUSE
         return max(self._tools.backoffs.left(replica_id), self._tools.rate_limits.wait(replica_id))
 
     def _send_first(self) -> None:
