--- a/packages/firtrestle/firtrestle/registry_readers.py
+++ b/packages/firtrestle/firtrestle/registry_readers.py
@@ -222,22 +222,20 @@
         now = self._clock.now()
         age = self._progress.age()
         self._set_registry_reachable(age < UNREACHABLE_AGE)
-        readers = self._readers = choose_readers(self._members.live())
-        chosen = now >= self._members_known_at and any(
-            reader.id == self._members.me.id for reader in readers
-        )
+        self._readers = choose_readers(self._members.live())
+        chosen = now >= self._members_known_at and self._own_place() < len(self._readers)
         if not chosen and age > self._max_age and now >= self._own_reads_until:
             self._own_reads_until = Millis(now + OWN_READ_PERIOD)
         self._set_active(chosen or now < self._own_reads_until, chosen)
         if age < REFRESH_AGE:
             self._asked_ids.clear()
             return None
-        return self._next_to_ask(readers)
+        return self._next_to_ask()
 
-    def _next_to_ask(self, readers: list[Member]) -> Member | None:
+    def _next_to_ask(self) -> Member | None:
         """Return the next other reader in turn, those of this data centre first."""
         me = self._members.me
-        others = [reader for reader in readers if reader.id != me.id]
+        others = [reader for reader in self._readers if reader.id != me.id]
         ordered = sorted(others, key=lambda reader: reader.data_centre != me.data_centre)
         untried = [reader for reader in ordered if reader.id not in self._asked_ids] or ordered
         if not untried:
