Run the tests of registry and document watches on simulated time

pytest-trio takes a test's clock from the test's own arguments. These tests asked for autojump_clock in a fixture only, so they ran on real time: both files together 244 s, 3.5 s with the clock among the arguments of each test, all passing in both.

--- a/packages/firtrestle/tests/test_platforms.py
+++ b/packages/firtrestle/tests/test_platforms.py
@@ -51,7 +51,7 @@
 
 
 @pytest.fixture
-async def followed(nursery, autojump_clock, monkeypatch):
+async def followed(nursery, monkeypatch):
     service = FakeService()
     monkeypatch.setattr(platforms, "fetch", service.fetch)
     watcher = DocumentWatcher(
@@ -72,7 +72,9 @@
 
 # Guards against a poll that hangs being waited for while the service answers new calls.
 @pytest.mark.parametrize("silent_for", [1_000, 5_000, 9_000, 20_000])
-async def test_a_change_after_a_silent_spell_is_published_in_time(followed, silent_for):
+async def test_a_change_after_a_silent_spell_is_published_in_time(
+    autojump_clock, followed, silent_for
+):
     service, watcher = followed
     service.change()
     await sleep(Millis(10))
--- a/packages/firtrestle/tests/test_registry_watches.py
+++ b/packages/firtrestle/tests/test_registry_watches.py
@@ -104,7 +104,7 @@
 
 
 @pytest.fixture
-async def fleet(nursery, autojump_clock):
+async def fleet(nursery):
     registry = FakeRegistry()
     daemons = []
     daemons.extend(Daemon(f"d{number}", registry, daemons) for number in range(7))
@@ -126,7 +126,9 @@
 
 # Guards against a watch that hangs being taken for current knowledge.
 @pytest.mark.parametrize("silent_for", [300, 700, 1_500, 3_000, 6_000])
-async def test_a_change_after_a_silent_spell_is_held_by_all_within_3_s(fleet, silent_for):
+async def test_a_change_after_a_silent_spell_is_held_by_all_within_3_s(
+    autojump_clock, fleet, silent_for
+):
     registry, daemons = fleet
     registry.change()
     await sleep(Millis(100))
@@ -138,7 +140,7 @@
 
 
 # Guards against open connections that stay silent without a reset while new calls are answered.
-async def test_a_change_that_no_watch_reports_is_held_by_all_within_3_s(fleet):
+async def test_a_change_that_no_watch_reports_is_held_by_all_within_3_s(autojump_clock, fleet):
     registry, daemons = fleet
     registry.drops_watches = True
     for _ in range(5):
@@ -148,7 +150,7 @@
     assert sum(daemon.follower.watches_given_up for daemon in daemons) >= 5
 
 
-async def test_knowledge_of_a_quiet_registry_stays_current_at_every_daemon(fleet):
+async def test_knowledge_of_a_quiet_registry_stays_current_at_every_daemon(autojump_clock, fleet):
     _, daemons = fleet
     ages = []
     for _ in range(200):
@@ -158,7 +160,7 @@
     assert sum(daemon.follower.watches_given_up for daemon in daemons) == 0
 
 
-async def test_one_reader_checks_for_the_whole_fleet(fleet):
+async def test_one_reader_checks_for_the_whole_fleet(autojump_clock, fleet):
     """Pattern: nothing changes; the registry gets the checks of one reader, and long watches."""
     registry, _ = fleet
     calls_before = registry.calls
@@ -167,7 +169,9 @@
     assert registry.calls - calls_before <= 60_000 / CHECK_AGE + watches + 3
 
 
-async def test_a_reader_before_that_is_turned_away_is_replaced_by_the_next_one(fleet):
+async def test_a_reader_before_that_is_turned_away_is_replaced_by_the_next_one(
+    autojump_clock, fleet
+):
     registry, daemons = fleet
     first = next(daemon for daemon in daemons if daemon.role._earlier_reader() is None)
     first.follower._watcher = first.follower._checker = FakeClient(FakeRegistry())
