--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -123,12 +123,20 @@
 
     @classmethod
     async def open(
-        cls, host: str, port: int, timeout: Millis, memory: ReceiveMemory | None = None
+        cls,
+        host: str,
+        port: int,
+        timeout: Millis,
+        memory: ReceiveMemory | None = None,
+        source: str = "",
     ) -> HttpConnection | HttpFailure:
-        """Connect within the timeout, or return the failure."""
+        """Connect within the timeout, or return the failure.
+
+        `source` is the local IP address to connect from, empty for the system's choice.
+        """
         try:
             with move_on_after(timeout):
-                return cls(await _connect(host, port), f"{host}:{port}", memory)
+                return cls(await _connect(host, port, source), f"{host}:{port}", memory)
         except OSError as error:
             return HttpFailure(False, f"connecting to {host}:{port} failed: {error}")
         return HttpFailure(False, f"connecting to {host}:{port} took too long")
@@ -272,12 +280,16 @@
     return text.encode()
 
 
-async def _connect(host: str, port: int) -> trio.SocketStream:
+async def _connect(host: str, port: int, source: str) -> trio.SocketStream:
     """Connect; IPv4 addresses, as registries list them, skip name resolution."""
     if not host.replace(".", "").isdigit():
-        return await trio.open_tcp_stream(host, port, happy_eyeballs_delay=None)
+        return await trio.open_tcp_stream(
+            host, port, happy_eyeballs_delay=None, local_address=source or None
+        )
     socket = trio.socket.socket()
     try:
+        if source:
+            await socket.bind((source, 0))
         await socket.connect((host, port))
     except BaseException:
         socket.close()
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -106,6 +106,7 @@
     backoffs: Backoffs
     observe: ObserveReply
     memory: ReceiveMemory  # for unfinished replies
+    source: str = ""  # local IP address to connect from, empty for the system's choice
 
 
 class InstancePool:
@@ -123,6 +124,7 @@
         self._backoffs = tools.backoffs
         self._observe = tools.observe
         self._memory = tools.memory
+        self._source = tools.source
         self._idle: list[_IdleConnection] = []
         self._waiters: deque[_Waiter] = deque()
         self._sent_calls: list[InstanceCall] = []
@@ -271,7 +273,7 @@
             left = Millis(call.deadline - self._clock.now())
             timeout = min(CONNECT_TIMEOUT, left)
             opened = await HttpConnection.open(
-                self.instance.host, self.instance.port, timeout, self._memory
+                self.instance.host, self.instance.port, timeout, self._memory, self._source
             )
         finally:
             if isinstance(opened, HttpFailure):
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -103,6 +103,7 @@
                 self._backoffs,
                 self._observe_reply,
                 reply_memory,
+                settings.daemon.source_address,
             )
         )
         self._departures = Departures(
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -44,6 +44,9 @@
         le=65535,
         description="port at which other daemons reach peer_port, 0 if it is the same",
     )
+    source_address: str = Field(
+        "", description="IP address to connect to instances from, empty for the system's choice"
+    )
     memory_mb: int = Field(
         200, ge=50, description="memory of the VM, from which bounds of messages follow, MB"
     )
