Tell lost links of a daemon from silent instances, and log it

The logs could not tell a daemon that has lost its links from many dead instances. A daemon now keeps when any instance was last heard, which ones are silent since, and probes some before it believes that its own links are lost; the belief is logged with its inputs and shown by the status and three metrics. Nothing acts on it yet.

--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -42,6 +42,7 @@
 from firtrestle.service_gathers import ServiceTools
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
+from firtrestle.uplinks import Uplink
 from firtrestle_platform.callers import PlatformCallerCodec
 from firtrestle_platform.searchers import SearcherCodec
 from loguru import logger
@@ -107,7 +108,15 @@
         hedger=EagerHedger(clock),
         instances=instances,
         pools=InstancePools(
-            PoolTools(SearcherCodec(), clock, nursery, backoffs, lambda *_: None, memory)
+            PoolTools(
+                SearcherCodec(),
+                clock,
+                nursery,
+                backoffs,
+                lambda *_: None,
+                memory,
+                Uplink(clock, rng),
+            )
         ),
         budgets=RepeatBudgets(RepeatTerms(0.2, 50.0, Millis(10_000)), clock, clock.now()),
         subsets=ReplicaSubsets("d1", "dc"),
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -30,10 +30,12 @@
 from firtrestle.outcomes import SubOutcome
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.snapshots import ReplicaId
+from firtrestle.uplinks import Uplink
 
 # A loaded instance accepts within about 10 ms; a TCP retransmission takes longer than this timeout.
 CONNECT_TIMEOUT = Millis(400)
 MAX_IDLE_TIME = Millis(8_000)  # below the idle timeouts that instances announce
+MAX_CONNECT_TIME = Millis(100)  # a connect that is abandoned later than this counts as failed
 # Several times a usual reply time. Reading the reply to a cancelled call keeps its connection
 # usable, which saves opening a new one.
 CANCELLED_REPLY_TIMEOUT = Millis(150)
@@ -106,6 +108,7 @@
     backoffs: Backoffs
     observe: ObserveReply
     memory: ReceiveMemory  # for unfinished replies
+    uplink: Uplink
     source: str = ""  # local IP address to connect from, empty for the system's choice
 
 
@@ -125,6 +128,7 @@
         self._observe = tools.observe
         self._memory = tools.memory
         self._source = tools.source
+        self._uplink = tools.uplink
         self._idle: list[_IdleConnection] = []
         self._waiters: deque[_Waiter] = deque()
         self._sent_calls: list[InstanceCall] = []
@@ -140,6 +144,13 @@
         """Return the number of calls that wait for a connection."""
         return len(self._waiters)
 
+    def is_silent(self, since: Millis, before: Millis) -> bool:
+        """Return whether a call sent since a time and before another one is unanswered."""
+        return any(
+            call.sent_at is not None and since <= call.sent_at <= before
+            for call in self._sent_calls
+        )
+
     def refuse_waiting(self, refusal: InstanceReply) -> None:
         """Answer the calls that wait for a connection, none of which was sent."""
         for waiter in self._waiters:
@@ -193,6 +204,10 @@
             left = Millis(call.deadline - self._clock.now())
             request = self._codec.request(message, self.instance, left)
             reply = await connection.send_prepared(request, message.body, call.max_reply_bytes)
+            if isinstance(reply, HttpFailure) and not isinstance(reply, ReplyOverBounds):
+                self._uplink.record_failure(self.instance)
+            else:
+                self._uplink.record_heard()
             if isinstance(reply, ReplyOverBounds):
                 self._log_over_bounds(message, reply)
             if isinstance(reply, HttpFailure):
@@ -269,12 +284,19 @@
         self.connections_opened += 1
         call.opened_connection = True
         opened: HttpConnection | HttpFailure = HttpFailure(False, "not opened")
+        started_at = self._clock.now()
         try:
-            left = Millis(call.deadline - self._clock.now())
+            left = Millis(call.deadline - started_at)
             timeout = min(CONNECT_TIMEOUT, left)
             opened = await HttpConnection.open(
                 self.instance.host, self.instance.port, timeout, self._memory, self._source
             )
+            if isinstance(opened, HttpFailure):
+                self._uplink.record_failure(self.instance)
+        except trio.Cancelled:
+            if self._clock.now() - started_at >= MAX_CONNECT_TIME:
+                self._uplink.record_failure(self.instance)
+            raise
         finally:
             if isinstance(opened, HttpFailure):
                 self._on_connection_closed()
@@ -328,6 +350,12 @@
                 self._replies_over_bounds_before += pool.replies_over_bounds
                 pool.close()
 
+    def silent(self, since: Millis, duration: Millis) -> list[Instance]:
+        """Return the instances with a call sent since a time and unanswered for a duration."""
+        before = Millis(self._tools.clock.now() - duration)
+        pools = self._pool_by_id.values()
+        return [pool.instance for pool in pools if pool.is_silent(since, before)]
+
     def refuse_waiting(self, replica_id: ReplicaId, refusal: InstanceReply) -> None:
         """Answer the calls that wait for a connection to an instance, none of which was sent."""
         pool = self._pool_by_id.get(replica_id)
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -147,6 +147,10 @@
             if record.lapsed_at is None
         }
 
+    def all(self) -> list[Instance]:
+        """Return all instances, including lapsed, draining and barred ones."""
+        return [record.instance for record in self._record_by_id.values()]
+
     def get(self, replica_id: ReplicaId) -> Instance | None:
         """Return the instance of a replica id, or None if it is gone or was restarted."""
         record = self._record_by_id.get(replica_id.target_id)
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -53,6 +53,21 @@
     "Instances that are slow by the reports of several daemons",
     registry=REGISTRY,
 )
+UPLINK_LOST = Gauge(
+    "firtrestle_uplink_lost",
+    "1 while this daemon believes that it reaches no instance",
+    registry=REGISTRY,
+)
+UPLINK_LOSSES = Gauge(
+    "firtrestle_uplink_losses",
+    "Times that this daemon has lost its links to the instances, since the start",
+    registry=REGISTRY,
+)
+UNHEARD = Gauge(
+    "firtrestle_instances_unheard_seconds",
+    "Time since the last reply of any instance",
+    registry=REGISTRY,
+)
 LEAVING = Gauge(
     "firtrestle_instances_leaving",
     "Instances that announced their departure, here or to a peer",
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -43,6 +43,7 @@
 from firtrestle.settings import Settings, load_settings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from firtrestle.uplinks import Uplink, UplinkMonitor
 
 HOUSEKEEPING_INTERVAL = Millis(500)
 SLOW_REPORTS_INTERVAL = Millis(200)
@@ -95,6 +96,7 @@
         self._rate_limits = RateLimits(clock, rng, self._count_users)
         memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
         reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
+        self._uplink = Uplink(clock, rng)
         self._pools = InstancePools(
             PoolTools(
                 instance_codec,
@@ -103,6 +105,7 @@
                 self._backoffs,
                 self._observe_reply,
                 reply_memory,
+                self._uplink,
                 settings.daemon.source_address,
             )
         )
@@ -115,6 +118,14 @@
         self.instances = Instances(
             clock, self._remove_replicas, self._departures, self._withdraw_waiting
         )
+        self._uplink_monitor = UplinkMonitor(
+            self._uplink,
+            self.instances.all,
+            self._pools.silent,
+            clock,
+            rng,
+            settings.daemon.source_address,
+        )
         self._budgets = self._build_budgets()
         self._crashes = CrashRecords(self.items, clock)
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
@@ -183,6 +194,7 @@
         start(self._gossiper.push_changes, self._members.live_peers, self._members.call)
         start(self._members.run)
         start(self._pause_guard.run)
+        start(self._uplink_monitor.run)
         start(self._source.run)
         start(self._reader_role.run)
         start(self._run_housekeeping)
@@ -319,6 +331,9 @@
         for state, count in self._replicas.count_by_state().items():
             metrics.REPLICAS.labels(state).set(count)
         metrics.REPORTED_SLOW.set(self._slow_reports.slow_count())
+        metrics.UPLINK_LOST.set(self._uplink.is_lost)
+        metrics.UPLINK_LOSSES.set(self._uplink.losses)
+        metrics.UNHEARD.set(self._uplink.lost_for() / MILLIS_PER_SECOND)
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
         metrics.LIMITED.set(self._rate_limits.count())
@@ -343,6 +358,7 @@
             "instances": self.instances.count(),
             "connections": self._pools.open_connections,
             "members": {m.id: m.status.name.lower() for m in self._members.by_id.values()},
+            "uplink": str(self._uplink.state),
             "source": self._source.status(),
         }
 
--- /dev/null
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -0,0 +1,258 @@
+"""Judge whether this daemon reaches the instances, by whether it hears from any of them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from enum import StrEnum
+
+import trio
+from loguru import logger
+
+from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.http_clients import HttpConnection
+from firtrestle.instances import Instance
+
+CHECK_INTERVAL = Millis(100)
+MAX_CHECK_GAP = Millis(300)  # beyond it, this process was paused and may have unread replies
+MAX_SILENCE = Millis(300)  # a healthy instance's pause is shorter
+MAX_SILENCE_IF_CONNECTABLE = Millis(1_000)  # while instances accept connections
+# Fewer silent instances, or those of one service, may be at fault themselves.
+MIN_SILENT_INSTANCES = 4
+MIN_SILENT_SERVICES = 2
+PROBES_AT_ONCE = 3  # to confirm a loss
+PROBE_TIMEOUT = Millis(150)
+MIN_PROBE_INTERVAL = Millis(250)
+MAX_PROBE_INTERVAL = Millis(1_000)
+PROBE_BACKOFF_FACTOR = 1.5
+PROBE_JITTER = (0.75, 1.25)  # spreads the return of many daemons
+TRIAL_INTERVAL = Millis(500)  # between requests sent over a link that may be back
+RETURN_TIME = Millis(1_000)  # over which the share of requests sent over a restored link grows
+
+
+class UplinkState(StrEnum):
+    """Define what this daemon believes of its links to the instances."""
+
+    UP = "up"
+    SUSPECT = "suspect"  # all instances asked are silent; to be confirmed
+    DOWN = "down"
+    TRIAL = "trial"  # an instance accepts connections again
+
+
+class Uplink:
+    """Keep the belief whether this daemon, rather than its instances, is cut off.
+
+    A single instance's silence tells nothing of the daemon's own links. When all instances that
+    were asked are silent, and several services among them, the common cause is most likely here.
+    Any reply proves the opposite.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        on_change: Callable[[UplinkState], None] = lambda before: None,
+    ) -> None:
+        self.state = UplinkState.UP
+        self.heard_at = clock.now()  # the last reply of any instance
+        self.losses = 0
+        self._clock = clock
+        self._rng = rng
+        self._on_change = on_change
+        self._changed_at = self.heard_at
+        self._service_by_failed_id: dict[str, str] = {}  # failed since an instance was heard
+        self._failing_since = Millis(0)
+        self._next_trial_at = Millis(0)
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether no instance is believed to be reachable."""
+        return self.state in (UplinkState.DOWN, UplinkState.TRIAL)
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the instances are reachable, and have been for some time."""
+        return self.state is UplinkState.UP and self._return_share() >= 1.0
+
+    def has_heard_since(self, at: Millis) -> bool:
+        """Return whether any instance has replied since a time."""
+        return self.heard_at >= at
+
+    def admits(self, repeatable: bool) -> bool:
+        """Return whether a new request is to be sent to instances from here.
+
+        After a loss, single requests that may be repeated try the link, and the share of admitted
+        requests grows over the first second of a restored link.
+        """
+        if self.state is UplinkState.DOWN:
+            return False
+        if self.state is UplinkState.TRIAL:
+            now = self._clock.now()
+            if not repeatable or now < self._next_trial_at:
+                return False
+            self._next_trial_at = Millis(now + TRIAL_INTERVAL)
+            return True
+        return self._rng.random() < self._return_share()
+
+    def record_heard(self) -> None:
+        """Record that an instance replied, which proves that the links work."""
+        self.heard_at = self._clock.now()
+        self._service_by_failed_id.clear()
+        if self.state is not UplinkState.UP:
+            self._change(UplinkState.UP)
+
+    def record_failure(self, instance: Instance) -> None:
+        """Record that an instance was not reached, or that its connection broke."""
+        if not self._service_by_failed_id:
+            self._failing_since = self._clock.now()
+        self._service_by_failed_id[instance.id] = instance.service
+
+    def record_pause(self) -> None:
+        """Start the silence anew after a pause of this process, during which nothing was read."""
+        self.heard_at = max(self.heard_at, self._clock.now())
+        self._service_by_failed_id.clear()
+
+    def check(self, silent: Iterable[Instance]) -> None:
+        """Update the belief; `silent` have not replied to a request within MAX_SILENCE."""
+        if self.state is UplinkState.DOWN:
+            return
+        now = self._clock.now()
+        service_by_id = {instance.id: instance.service for instance in silent}
+        if now - self._failing_since >= MAX_SILENCE:
+            service_by_id |= self._service_by_failed_id
+        silence = Millis(now - self.heard_at)
+        if self.state is UplinkState.TRIAL:
+            if service_by_id:
+                self._change(UplinkState.DOWN, silent=len(service_by_id))
+            return
+        is_silent = (
+            silence >= MAX_SILENCE
+            and len(service_by_id) >= MIN_SILENT_INSTANCES
+            and len(set(service_by_id.values())) >= MIN_SILENT_SERVICES
+        )
+        if not is_silent:
+            return
+        if self.state is UplinkState.UP:
+            self._change(UplinkState.SUSPECT, silent=len(service_by_id))
+        elif silence >= MAX_SILENCE_IF_CONNECTABLE:
+            self._change(UplinkState.DOWN, silent=len(service_by_id))
+
+    def record_probes(self, connected: bool) -> None:
+        """Record whether one of the instances probed accepted a connection."""
+        if self.state is UplinkState.SUSPECT and not connected:
+            self._change(UplinkState.DOWN)
+        elif self.state is UplinkState.DOWN and connected:
+            self._next_trial_at = self._clock.now()
+            self._change(UplinkState.TRIAL)
+
+    def lost_for(self) -> Millis:
+        """Return the time since the last reply of any instance."""
+        return Millis(self._clock.now() - self.heard_at)
+
+    def _return_share(self) -> float:
+        if not self.losses:
+            return 1.0
+        return min(1.0, (self._clock.now() - self._changed_at) / RETURN_TIME)
+
+    def _change(self, state: UplinkState, silent: int = 0) -> None:
+        before, self.state = self.state, state
+        now = self._clock.now()
+        is_loss = state is UplinkState.DOWN and before is UplinkState.SUSPECT
+        self.losses += is_loss
+        logger.bind(
+            before=str(before),
+            after=str(state),
+            silent_instances=silent,
+            failed_instances=len(self._service_by_failed_id),
+            unheard_ms=round(now - self.heard_at),
+            held_ms=round(now - self._changed_at),
+        ).log("WARNING" if is_loss else "INFO", "links to the instances")
+        # A suspicion that was not confirmed must not start another gradual return.
+        if UplinkState.SUSPECT not in (before, state) or is_loss:
+            self._changed_at = now
+        if state is UplinkState.DOWN:
+            self._service_by_failed_id.clear()
+        self._on_change(before)
+
+
+ListInstances = Callable[[], list[Instance]]
+# Lists those with a call that was sent since a time and is unanswered for a duration.
+ListSilent = Callable[[Millis, Millis], list[Instance]]
+
+
+class UplinkMonitor:
+    """Check the links periodically, and probe instances while they are in doubt."""
+
+    def __init__(
+        self,
+        uplink: Uplink,
+        list_instances: ListInstances,
+        list_silent: ListSilent,
+        clock: Clock,
+        rng: random.Random,
+        source: str = "",
+    ) -> None:
+        self._uplink = uplink
+        self._list_instances = list_instances
+        self._list_silent = list_silent
+        self._clock = clock
+        self._rng = rng
+        self._source = source
+        self._probe_interval = MIN_PROBE_INTERVAL
+        self._next_probe_at = Millis(0)
+        self._losses_probed = 0
+        self._trial_since = Millis(0)
+
+    async def run(self) -> None:
+        """Check and probe until cancelled."""
+        checked_at = self._clock.now()
+        while True:
+            await sleep(CHECK_INTERVAL)
+            now = self._clock.now()
+            if now - checked_at > MAX_CHECK_GAP:
+                self._uplink.record_pause()
+            checked_at = now
+            await self._check(now)
+
+    async def _check(self, now: Millis) -> None:
+        uplink = self._uplink
+        if uplink.state is UplinkState.UP and now - uplink.heard_at < MAX_SILENCE:
+            return
+        if uplink.state is not UplinkState.DOWN:
+            since = self._trial_since if uplink.state is UplinkState.TRIAL else Millis(0)
+            uplink.check(self._list_silent(since, MAX_SILENCE))
+        if uplink.state is UplinkState.SUSPECT:
+            uplink.record_probes(await self._probe(PROBES_AT_ONCE))
+        elif uplink.state is UplinkState.DOWN and now >= self._next_probe_at:
+            await self._probe_for_return(now)
+
+    async def _probe_for_return(self, now: Millis) -> None:
+        if self._losses_probed != self._uplink.losses:
+            self._losses_probed = self._uplink.losses
+            self._probe_interval = MIN_PROBE_INTERVAL
+        else:
+            longer = self._probe_interval * PROBE_BACKOFF_FACTOR
+            self._probe_interval = Millis(min(MAX_PROBE_INTERVAL, longer))
+        interval = self._probe_interval * self._rng.uniform(*PROBE_JITTER)
+        self._next_probe_at = Millis(now + interval)
+        if await self._probe(1):
+            self._trial_since = self._clock.now()
+            self._uplink.record_probes(True)
+
+    async def _probe(self, count: int) -> bool:
+        """Return whether one of some random instances accepts a connection."""
+        instances = self._list_instances()
+        connected: list[bool] = []
+
+        async def connect(instance: Instance) -> None:
+            opened = await HttpConnection.open(
+                instance.host, instance.port, PROBE_TIMEOUT, source=self._source
+            )
+            if isinstance(opened, HttpConnection):
+                connected.append(True)
+                await opened.close()
+
+        async with trio.open_nursery() as nursery:
+            for instance in self._rng.sample(instances, min(count, len(instances))):
+                nursery.start_soon(connect, instance)
+        return bool(connected)
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -19,6 +19,7 @@
 from firtrestle.instances import Instance
 from firtrestle.outcomes import SubOutcome
 from firtrestle.receive_bounds import ReceiveMemory
+from firtrestle.uplinks import Uplink
 
 FAR_DEADLINE = Millis(1_000_000_000)
 
@@ -45,7 +46,10 @@
         self.backoffs = Backoffs(clock, random.Random(1))
         self.observed = []
         self.memory = ReceiveMemory(1_000_000)
-        tools = PoolTools(Codec(), clock, nursery, self.backoffs, self.observe, self.memory)
+        self.uplink = Uplink(clock, random.Random(1))
+        tools = PoolTools(
+            Codec(), clock, nursery, self.backoffs, self.observe, self.memory, self.uplink
+        )
         self.pools = InstancePools(tools)
         self.replies = []
 
--- /dev/null
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -0,0 +1,137 @@
+"""Telling lost links of a daemon from instances that are slow or dead."""
+
+import random
+
+import pytest
+from firtrestle.clocks import Millis
+from firtrestle.instances import Instance
+from firtrestle.uplinks import (
+    MAX_SILENCE,
+    MAX_SILENCE_IF_CONNECTABLE,
+    MIN_SILENT_INSTANCES,
+    RETURN_TIME,
+    TRIAL_INTERVAL,
+    Uplink,
+    UplinkState,
+)
+from manual_clocks import ManualClock
+
+
+def instances(count, services=3):
+    return [
+        Instance(f"i{number}", f"s{number % services}", "h", 1, "dc", 3, False, 1)
+        for number in range(count)
+    ]
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(100_000.0)
+
+
+@pytest.fixture
+def uplink(clock):
+    return Uplink(clock, random.Random(1))
+
+
+def lose(uplink, clock):
+    clock.at += MAX_SILENCE
+    uplink.check(instances(MIN_SILENT_INSTANCES))
+    uplink.record_probes(False)
+    assert uplink.state is UplinkState.DOWN
+
+
+def test_links_are_lost_if_all_asked_are_silent_and_none_accepts_a_connection(uplink, clock):
+    clock.at += MAX_SILENCE
+    uplink.check(instances(MIN_SILENT_INSTANCES))
+    assert uplink.state is UplinkState.SUSPECT
+    assert uplink.admits(False)
+    uplink.record_probes(False)
+    assert uplink.state is UplinkState.DOWN
+    assert not uplink.admits(True)
+
+
+def test_links_over_which_connections_open_are_lost_after_a_longer_silence(uplink, clock):
+    clock.at += MAX_SILENCE
+    uplink.check(instances(9))
+    uplink.record_probes(True)
+    uplink.check(instances(9))
+    assert uplink.state is UplinkState.SUSPECT
+    clock.at += MAX_SILENCE_IF_CONNECTABLE - MAX_SILENCE
+    uplink.check(instances(9))
+    assert uplink.state is UplinkState.DOWN
+
+
+def test_a_reply_of_any_instance_proves_the_links(uplink, clock):
+    clock.at += MAX_SILENCE
+    uplink.check(instances(9))
+    uplink.record_heard()
+    assert uplink.state is UplinkState.UP
+    assert uplink.admits(False)
+    clock.at += MAX_SILENCE - 1
+    uplink.check(instances(9))
+    assert uplink.state is UplinkState.UP
+
+
+@pytest.mark.parametrize("silent", [instances(MIN_SILENT_INSTANCES - 1), instances(9, services=1)])
+def test_few_instances_or_those_of_one_service_may_be_at_fault_themselves(uplink, clock, silent):
+    clock.at += 10_000
+    uplink.check(silent)
+    assert uplink.state is UplinkState.UP
+
+
+def test_connections_that_break_count_as_silent_instances_once_the_silence_is_long(uplink, clock):
+    clock.at += 10_000  # without any request
+    for instance in instances(9):
+        uplink.record_failure(instance)
+    uplink.check([])
+    assert uplink.state is UplinkState.UP
+    clock.at += MAX_SILENCE
+    uplink.check([])
+    assert uplink.state is UplinkState.SUSPECT
+
+
+def test_unread_replies_after_a_pause_of_the_process_are_no_silence(uplink, clock):
+    clock.at += 10_000
+    uplink.record_pause()
+    uplink.check(instances(9))
+    assert uplink.state is UplinkState.UP
+
+
+def test_lost_links_return_over_single_requests_that_may_be_repeated(uplink, clock):
+    lose(uplink, clock)
+    uplink.record_probes(True)
+    assert uplink.state is UplinkState.TRIAL
+    assert not uplink.admits(False)
+    assert uplink.admits(True)
+    assert not uplink.admits(True)
+    clock.at += TRIAL_INTERVAL
+    assert uplink.admits(True)
+    uplink.check(instances(1))
+    assert uplink.state is UplinkState.DOWN
+    assert uplink.losses == 1
+
+
+def test_a_restored_link_takes_a_growing_share_of_the_requests(uplink, clock):
+    lose(uplink, clock)
+    uplink.record_probes(True)
+    uplink.record_heard()
+    shares = []
+    for _ in range(4):
+        shares.append(sum(uplink.admits(False) for _ in range(400)) / 400)
+        clock.at += RETURN_TIME / 3
+    assert shares == sorted(shares)
+    assert shares[0] == 0.0
+    assert shares[-1] == 1.0
+    assert uplink.is_settled
+
+
+def test_a_suspicion_that_is_not_confirmed_holds_no_requests_back(uplink, clock):
+    lose(uplink, clock)
+    uplink.record_heard()
+    clock.at += 10_000
+    uplink.check(instances(9))
+    assert uplink.state is UplinkState.SUSPECT
+    uplink.record_heard()
+    assert all(uplink.admits(False) for _ in range(100))
+    assert uplink.has_heard_since(Millis(clock.at))
