Count silence against instances only while others are heard

Cause: a daemon judged each instance by itself. A reply that broke off became a crash as soon as its instance was unreachable, and an attempt without a reply at the end of its gather became a report of slowness, though the daemon's own links had failed. Now an unreachable instance has crashed only once another one has replied afterwards, an overdue attempt counts only if another instance was heard since it was sent, and lost links clear what is unconfirmed. Removals and restarts in the registry count at once, as before.

--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -100,6 +100,7 @@
     loop = LoopMonitor(clock)
     trio.lowlevel.add_instrument(loop)
     memory = ReceiveMemory(MEMORY_BYTES)
+    uplink = Uplink(clock, rng)
     tools = ServiceTools(
         clock=clock,
         rng=rng,
@@ -115,7 +116,7 @@
                 backoffs,
                 lambda *_: None,
                 memory,
-                Uplink(clock, rng),
+                uplink,
             )
         ),
         budgets=RepeatBudgets(RepeatTerms(0.2, 50.0, Millis(10_000)), clock, clock.now()),
@@ -125,6 +126,7 @@
         rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
         slow_reports=SlowReports(clock, instances.count, lambda *_: None),
         loop=loop,
+        uplink=uplink,
         data_centre="dc",
         reply_memory_bytes=memory.limit_bytes,
     )
--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -19,6 +19,9 @@
 QUARANTINE_DURATION = Millis(60_000)  # lets the operator fix or withdraw the request meanwhile
 RECORD_RETENTION = Millis(600_000)  # since the stamp, which is its publisher's wall clock
 CRASH_CONFIRM_WINDOW = Millis(5_000)  # from a broken reply until its instance is found lost
+# From the failure to reach an instance until another one's reply proves that this daemon's own
+# links work; replies received before a cut may be read a little later.
+MIN_PROOF_DELAY = Millis(50)
 MAX_UNCONFIRMED_INSTANCES = 1_000  # instances with broken replies not yet confirmed as crashes
 
 
@@ -28,6 +31,15 @@
     at: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class _Suspicion:
+    """Represent an instance that could not be reached after it broke off replies."""
+
+    replica_id: ReplicaId
+    broken_replies: list[_BrokenReply]
+    at: Millis
+
+
 @dataclass(slots=True)
 class _Record:
     crashed: set[str] = field(default_factory=set)
@@ -44,13 +56,16 @@
     """Record which instances crashed while they ran a request that no instance has answered.
 
     A broken reply counts as a crash only if its instance is found unreachable, removed or restarted
-    soon after. A single complete reply clears the request's record, here and at all peers.
+    soon after, and not if this daemon has lost its own links: an unreachable instance has crashed
+    only if another one replies afterwards. A single complete reply clears the request's record,
+    here and at all peers.
     """
 
     def __init__(self, items: GossipMap, clock: Clock) -> None:
         self._items = items
         self._clock = clock
         self._broken_by_replica: OrderedDict[ReplicaId, list[_BrokenReply]] = OrderedDict()
+        self._suspicions: list[_Suspicion] = []
         self._record_by_fingerprint: dict[str, _Record] = {}
         items.add_validator(CRASH_PREFIX, self._is_current)
         items.add_listener(CRASH_PREFIX, self._on_item)
@@ -58,7 +73,7 @@
     @property
     def is_empty(self) -> bool:
         """Return whether nothing is recorded, so that requests need no check."""
-        return not (self._broken_by_replica or self._record_by_fingerprint)
+        return not (self._broken_by_replica or self._suspicions or self._record_by_fingerprint)
 
     def time_left(self, fingerprint: str) -> Millis | None:
         """Return the rest of a request's quarantine, None if it is not quarantined."""
@@ -74,18 +89,46 @@
         if len(self._broken_by_replica) > MAX_UNCONFIRMED_INSTANCES:
             self._broken_by_replica.popitem(last=False)
 
-    def record_instance_lost(self, replica_id: ReplicaId) -> None:
-        """Count the recent broken replies of a lost instance as crashes.
+    def record_unreachable(self, replica_id: ReplicaId) -> None:
+        """Suspect that an instance that broke off replies and is unreachable has crashed."""
+        broken_replies = self._broken_by_replica.pop(replica_id, None)
+        if broken_replies:
+            suspicion = _Suspicion(replica_id, broken_replies, self._clock.now())
+            self._suspicions.append(suspicion)
+
+    def confirm_unreachable(self, heard_at: Millis) -> None:
+        """Count suspected crashes of instances, given when any instance was last heard."""
+        pending, self._suspicions = self._suspicions, []
+        for suspicion in pending:
+            if heard_at >= suspicion.at + MIN_PROOF_DELAY:
+                self._record_crashes(suspicion.replica_id, suspicion.broken_replies, suspicion.at)
+            else:
+                self._suspicions.append(suspicion)
 
-        An instance is lost if it is unreachable, removed or restarted.
-        """
-        now = self._clock.now()
-        for broken in self._broken_by_replica.pop(replica_id, []):
-            if now - broken.at <= CRASH_CONFIRM_WINDOW:
-                self._record_crash(broken.fingerprint, replica_id.target_id)
+    def discard_unconfirmed(self) -> None:
+        """Forget broken replies and suspicions that lost links of this daemon explain."""
+        if self._broken_by_replica or self._suspicions:
+            logger.bind(
+                instances=len(self._broken_by_replica), suspected=len(self._suspicions)
+            ).info("broken replies explained by lost links")
+        self._broken_by_replica.clear()
+        self._suspicions.clear()
+
+    def record_instance_lost(self, replica_id: ReplicaId) -> None:
+        """Count the recent broken replies of an instance that was removed or restarted."""
+        broken_replies = self._broken_by_replica.pop(replica_id, [])
+        for suspicion in [s for s in self._suspicions if s.replica_id == replica_id]:
+            self._suspicions.remove(suspicion)
+            broken_replies += suspicion.broken_replies
+        self._record_crashes(replica_id, broken_replies, self._clock.now())
 
     def record_success(self, fingerprint: str) -> None:
         """Clear a request that an instance answered."""
+        self._suspicions = [
+            suspicion
+            for suspicion in self._suspicions
+            if all(broken.fingerprint != fingerprint for broken in suspicion.broken_replies)
+        ]
         for replica_id, broken_replies in list(self._broken_by_replica.items()):
             kept = [broken for broken in broken_replies if broken.fingerprint != fingerprint]
             if kept:
@@ -101,11 +144,19 @@
         for replica_id, broken_replies in list(self._broken_by_replica.items()):
             if all(now - broken.at > CRASH_CONFIRM_WINDOW for broken in broken_replies):
                 del self._broken_by_replica[replica_id]
+        self._suspicions = [s for s in self._suspicions if now - s.at <= CRASH_CONFIRM_WINDOW]
         for key, item in self._items.with_prefix(CRASH_PREFIX).items():
             if self._clock.wall() - item.stamp > RECORD_RETENTION:
                 self._items.remove(key)
                 self._record_by_fingerprint.pop(key.removeprefix(CRASH_PREFIX), None)
 
+    def _record_crashes(
+        self, replica_id: ReplicaId, broken_replies: list[_BrokenReply], lost_at: Millis
+    ) -> None:
+        for broken in broken_replies:
+            if lost_at - broken.at <= CRASH_CONFIRM_WINDOW:
+                self._record_crash(broken.fingerprint, replica_id.target_id)
+
     def _record_crash(self, fingerprint: str, target_id: str) -> None:
         record = self._record_by_fingerprint.get(fingerprint, _Record())
         bound = logger.bind(fingerprint=fingerprint, instance=target_id, before=len(record.crashed))
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -43,7 +43,7 @@
 from firtrestle.settings import Settings, load_settings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
-from firtrestle.uplinks import Uplink, UplinkMonitor
+from firtrestle.uplinks import Uplink, UplinkMonitor, UplinkState
 
 HOUSEKEEPING_INTERVAL = Millis(500)
 SLOW_REPORTS_INTERVAL = Millis(200)
@@ -96,7 +96,7 @@
         self._rate_limits = RateLimits(clock, rng, self._count_users)
         memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
         reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
-        self._uplink = Uplink(clock, rng)
+        self._uplink = Uplink(clock, rng, self._on_uplink_change)
         self._pools = InstancePools(
             PoolTools(
                 instance_codec,
@@ -146,6 +146,7 @@
             rate_limits=self._rate_limits,
             slow_reports=self._slow_reports,
             loop=self._loop,
+            uplink=self._uplink,
             data_centre=settings.daemon.data_centre,
             reply_memory_bytes=reply_memory.limit_bytes,
         )
@@ -211,6 +212,7 @@
             self._backoffs.expire()
             self._rate_limits.expire()
             self._slow_reports.expire()
+            self._crashes.confirm_unreachable(self._uplink.heard_at)
             self._crashes.expire()
             self._pools.close_stale()
             self._update_fleet_size()
@@ -225,6 +227,10 @@
                 for partner in self._members.partners(*SLOW_REPORTS_PARTNERS) if rows else []:
                     nursery.start_soon(self._members.call, partner, Pull(slow=rows))
 
+    def _on_uplink_change(self, before: UplinkState) -> None:
+        if self._uplink.state is UplinkState.DOWN:
+            self._crashes.discard_unconfirmed()
+
     def _avoid_slow(self, replica_id: ReplicaId, until: Millis) -> None:
         if self.instances.get(replica_id) is not None:
             self._replicas.get(replica_id).reported_slow_until = until
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -32,6 +32,7 @@
 from firtrestle.routes import Route, RouteTable
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from firtrestle.uplinks import Uplink
 
 # Share of the latency target for what the daemon does not see: the target counts from the caller's
 # first try, so it includes connecting and both ways across the network, as well as the sending.
@@ -71,6 +72,7 @@
     rate_limits: RateLimits
     slow_reports: SlowReports
     loop: LoopMonitor
+    uplink: Uplink
     data_centre: str
     reply_memory_bytes: int
     _last_serving_by_service: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
@@ -321,13 +323,17 @@
         return replica.has_capacity() and not self._wait_for(replica.id)
 
     def _record_overdue(self, state: ShardState) -> None:
-        """Record as overdue a shard's attempts that are still open, and old enough, at the end."""
+        """Record as overdue a shard's attempts that are still open, and old enough, at the end.
+
+        An attempt counts only if another instance was heard meanwhile.
+        """
         if not self._has_read_all_replies():
             return
         now = self._tools.clock.now()
         for attempt in state.attempts:
             waited = Millis(now - self._awaited_since(attempt))
-            if waited >= self._route.latency_target * MIN_OVERDUE_SHARE:
+            is_own_fault = not self._tools.uplink.has_heard_since(attempt.sent_at)
+            if waited >= self._route.latency_target * MIN_OVERDUE_SHARE and not is_own_fault:
                 self._tools.slow_reports.record(attempt.replica.id)
                 attempt.replica.record_overdue(waited, now)
 
@@ -358,8 +364,12 @@
         if not reply.reached:
             state.unreached += 1
             if outcome is SubOutcome.UNREACHABLE:
-                self._tools.crashes.record_instance_lost(attempt.replica.id)
-        elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
+                self._tools.crashes.record_unreachable(attempt.replica.id)
+        elif (
+            outcome is SubOutcome.DIED
+            and not self._parts.reply_by_service
+            and not self._tools.uplink.is_lost
+        ):
             self._tools.crashes.record_broken_reply(self._request.fingerprint, attempt.replica.id)
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.attempt_summary.last_failure = reply
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -76,7 +76,7 @@
 
     def has_heard_since(self, at: Millis) -> bool:
         """Return whether any instance has replied since a time."""
-        return self.heard_at >= at
+        return self.heard_at > at
 
     def admits(self, repeatable: bool) -> bool:
         """Return whether a new request is to be sent to instances from here.
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -5,6 +5,7 @@
 from firtrestle.crash_records import (
     CRASH_CONFIRM_WINDOW,
     CRASH_PREFIX,
+    MIN_PROOF_DELAY,
     QUARANTINE_DURATION,
     RECORD_RETENTION,
     CrashRecords,
@@ -128,3 +129,30 @@
     first.items.put_rows([[CRASH_PREFIX + "f", stamp, value]])
     first.records.expire()
     first.records.time_left("f")
+
+
+# Guards against lost links of a daemon being taken for crashes, which quarantines good requests.
+def test_instances_that_are_all_unreachable_have_not_crashed():
+    clock, first, second = pair()
+    for name in ("i1", "i2", "i3", "i4"):
+        first.records.record_broken_reply("f", replica(name))
+        first.records.record_unreachable(replica(name))
+    heard_before = clock.at
+    clock.at += 2_000
+    first.records.confirm_unreachable(heard_before)
+    second.sync(first)
+    assert first.records.time_left("f") is None
+    assert second.records.time_left("f") is None
+    first.records.discard_unconfirmed()
+    first.records.confirm_unreachable(clock.at)
+    assert first.records.time_left("f") is None
+
+
+def test_an_unreachable_instance_has_crashed_if_another_one_replies_afterwards():
+    clock, first, _ = pair()
+    for name in ("i1", "i2", "i3"):
+        first.records.record_broken_reply("f", replica(name))
+        first.records.record_unreachable(replica(name))
+    clock.at += MIN_PROOF_DELAY
+    first.records.confirm_unreachable(clock.at)
+    assert first.records.time_left("f") == QUARANTINE_DURATION
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -257,3 +257,26 @@
         assert harness.pools.sent == []
 
     run_with_harness(lambda instance, nth: (5, good(instance)), body, services=4)
+
+
+# Guards against a daemon that has lost its links reporting healthy instances as slow.
+def test_a_daemon_that_hears_no_instance_reports_none_as_slow():
+    async def body(harness):
+        for _ in range(4):
+            refused, _ = await harness.ask(scatter_route(6))
+            assert isinstance(refused, Refused)
+        assert harness.tools.slow_reports.is_empty
+
+    run_with_harness(lambda instance, nth: (math.inf, good(instance)), body)
+
+
+def test_an_instance_that_is_silent_while_others_reply_is_reported_as_slow():
+    async def body(harness):
+        for _ in range(4):
+            await harness.ask(scatter_route(6, least_coverage=1.0), time_left=300)
+        assert not harness.tools.slow_reports.is_empty
+
+    def behave(instance, nth):
+        return (math.inf if instance.service == "s0" else 5, good(instance))
+
+    run_with_harness(behave, body)
