Let peers run the requests of a daemon that has lost its links to the instances

Cause: a daemon's own links were nowhere in its model. Each instance was judged by itself, so a daemon without links kept each request until its deadline or until each replica had failed, and no other daemon was asked. Class of fault: a failure of the observer taken for one of the observed.

Now a daemon whose links are down ends its attempts and lets a peer that reports to reach the instances run the request, or the services that lack a reply, over one hop. The message carries all terms; once a peer may have got it no other does; the peer says what may have run. Without a peer the request is refused at once as not run. Ruled out: readiness (open connections stay, a zone with few ready machines is used whole) and a fast refusal (the first try fails all the same).

--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -34,6 +34,7 @@
 from firtrestle.rate_limits import RateLimits
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.registry_readers import RegistryProgress
+from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
@@ -55,6 +56,10 @@
 OWN_PACKAGES = ("firtrestle", "firtrestle_platform", "h11", "trio", "loguru")
 
 
+async def _call_no_peer(*_: object) -> None:
+    raise AssertionError("the links are not lost")
+
+
 class Searcher(asyncio.Protocol):
     """Answer each request with random records, as soon as its head is complete."""
 
@@ -127,6 +132,7 @@
         slow_reports=SlowReports(clock, instances.count, lambda *_: None),
         loop=loop,
         uplink=uplink,
+        relays=Relays("d1", clock, rng, list, _call_no_peer),
         data_centre="dc",
         reply_memory_bytes=memory.limit_bytes,
     )
--- a/packages/firtrestle/firtrestle/answers.py
+++ b/packages/firtrestle/firtrestle/answers.py
@@ -53,6 +53,39 @@
     return max(MIN_PART_BOUND, MAX_RECORDS_RATIO * rule.count * rule.record_bytes)
 
 
+@singledispatch
+def condense(rule: MergeRule, reply_by_service: dict[str, InstanceReply]) -> dict[str, bytes]:
+    """Return the part of each reply's body that a merged answer may need."""
+    raise TypeError(f"no condensed form for rule {type(rule).__name__}")
+
+
+@condense.register
+def _condense_whole(
+    rule: WholeReply, reply_by_service: dict[str, InstanceReply]
+) -> dict[str, bytes]:
+    return {service: reply.body for service, reply in reply_by_service.items()}
+
+
+@condense.register
+def _condense_top(rule: TopRecords, reply_by_service: dict[str, InstanceReply]) -> dict[str, bytes]:
+    records = [
+        (record, service)
+        for service, reply in reply_by_service.items()
+        for record in _records(rule, reply.body)
+    ]
+    records.sort(reverse=True)
+    kept: dict[str, list[bytes]] = {service: [] for service in reply_by_service}
+    for record, service in records[: rule.count]:
+        kept[service].append(record)
+    return {service: b"".join(rows) for service, rows in kept.items()}
+
+
+def _records(rule: TopRecords, body: bytes) -> list[bytes]:
+    """Return the whole records of a body."""
+    size = rule.record_bytes
+    return [body[start : start + size] for start in range(0, len(body) - size + 1, size)]
+
+
 @singledispatch
 def merge(rule: MergeRule, parts: Parts) -> Answer:
     """Merge the replies, at least one, by a route's merge rule."""
@@ -67,11 +100,8 @@
 
 @merge.register
 def _merge_top(rule: TopRecords, parts: Parts) -> Answer:
-    size = rule.record_bytes
     records = [
-        reply.body[start : start + size]
-        for reply in parts.reply_by_service.values()
-        for start in range(0, len(reply.body) - size + 1, size)
+        record for reply in parts.reply_by_service.values() for record in _records(rule, reply.body)
     ]
     records.sort(reverse=True)
     stamps = tuple(reply.stamp for reply in parts.reply_by_service.values())
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -70,6 +70,11 @@
             self.finished = True
             self.deliver(reply)
 
+    def fail(self, reason: str) -> None:
+        """Deliver a failure now, and stop the call."""
+        self.finish(failed_reply(HttpFailure(self.sent_at is not None, reason)))
+        self.scope.cancel()
+
     def cancel(self) -> None:
         """Cancel the call; if sent, its reply is awaited briefly to keep the connection usable."""
         self.finished = True
@@ -131,6 +136,7 @@
         self._uplink = tools.uplink
         self._idle: list[_IdleConnection] = []
         self._waiters: deque[_Waiter] = deque()
+        self._calls: set[InstanceCall] = set()
         self._sent_calls: list[InstanceCall] = []
         self._closed = False
 
@@ -162,9 +168,7 @@
         """Refuse waiting calls, close idle connections, and close busy ones after their calls."""
         self._closed = True
         self.refuse_waiting(_GONE)
-        for idle in self._idle:
-            self._nursery.start_soon(self._close_connection, idle.connection)
-        self._idle.clear()
+        self._close_idle()
 
     def close_stale(self) -> None:
         """Close idle connections that expired or that the instance has closed or written to."""
@@ -177,7 +181,23 @@
                 self._nursery.start_soon(self._close_connection, idle.connection)
         self._idle = kept
 
+    def abandon(self, reason: str) -> None:
+        """End calls and close idle connections, as the links to the instance are lost.
+
+        A message that was sent and must not be repeated goes on waiting for its reply.
+        """
+        for call in list(self._calls):
+            if call.sent_at is None or not call.fresh:
+                call.fail(reason)
+        self._close_idle()
+
+    def _close_idle(self) -> None:
+        for idle in self._idle:
+            self._nursery.start_soon(self._close_connection, idle.connection)
+        self._idle.clear()
+
     async def _run_call(self, call: InstanceCall) -> None:
+        self._calls.add(call)
         try:
             with call.scope:
                 connection = await self._acquire_connection(call)
@@ -189,6 +209,8 @@
             faults.record("call to an instance", error)
             failure = HttpFailure(call.sent_at is not None, f"the call failed: {error!r}")
             call.finish(failed_reply(failure))
+        finally:
+            self._calls.discard(call)
 
     async def _exchange(self, call: InstanceCall, connection: HttpConnection) -> None:
         message = call.message
@@ -350,6 +372,11 @@
                 self._replies_over_bounds_before += pool.replies_over_bounds
                 pool.close()
 
+    def abandon(self, reason: str) -> None:
+        """End the calls to all instances, as this daemon's links to them are lost."""
+        for pool in self._pool_by_id.values():
+            pool.abandon(reason)
+
     def silent(self, since: Millis, duration: Millis) -> list[Instance]:
         """Return the instances with a call sent since a time and unanswered for a duration."""
         before = Millis(self._tools.clock.now() - duration)
--- a/packages/firtrestle/firtrestle/members.py
+++ b/packages/firtrestle/firtrestle/members.py
@@ -185,6 +185,13 @@
         timeout = Millis(self._settings.call_timeout_ms)
         return await self._clients.get(member.address).call(value, timeout)
 
+    async def call_within(self, member: Member, value: Any, timeout: Millis) -> Any | PeerFailure:
+        """Call a member with a timeout of the caller's; if it fails, probe the member next."""
+        answer = await self._clients.get(member.address).call(value, timeout)
+        if isinstance(answer, PeerFailure):
+            self._probe_ids.add(member.id)
+        return answer
+
     def start_call(self, member: Member, value: Any, deliver: Deliver) -> Cancellable:
         """Start a call to a member; if it fails, the member is probed with the next ping."""
 
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -246,6 +246,52 @@
     retry_after_ms: float = 0.0
 
 
+@message("relay")
+@dataclass(slots=True)
+class Relay:
+    """Ask a peer to run a caller's request for some of its services, all on one hop.
+
+    `tried` counts, by service, attempts that may have reached an instance. `merge` is empty if one
+    service's reply is wanted unchanged, else the number and the size of the records to keep.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: list[list[str]]
+    body: bytes
+    route: str
+    repeatable: bool
+    max_attempts: int
+    least_coverage: float
+    target_ms: float
+    age_ms: float
+    left_ms: float
+    services: list[str]
+    merge: list[int] = field(default_factory=list)
+    tried: dict[str, int] = field(default_factory=dict)
+    is_counted: bool = False
+
+
+@message("relayed")
+@dataclass(slots=True)
+class Relayed:
+    """Answer a relay; with a `refusal`, nothing was sent to an instance.
+
+    `replies` holds [service, status, stamp, headers, body], and `failure` the last four of an
+    instance's own failure.
+    """
+
+    refusal: str = ""
+    replies: list[list[Any]] = field(default_factory=list)
+    reasons: dict[str, str] = field(default_factory=dict)
+    failure: list[Any] = field(default_factory=list)
+    sent: int = 0
+    hedges: int = 0
+    may_have_run: bool = False
+
+
 @message("cancel")
 @dataclass(slots=True)
 class Cancel:
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -63,6 +63,21 @@
     "Times that this daemon has lost its links to the instances, since the start",
     registry=REGISTRY,
 )
+RELAYED = Gauge(
+    "firtrestle_requests_relayed",
+    "Requests that a peer ran for this daemon, whole or in part, since the start",
+    registry=REGISTRY,
+)
+RELAYS_SERVED = Gauge(
+    "firtrestle_relays_served",
+    "Requests that were run for peers, since the start",
+    registry=REGISTRY,
+)
+RELAYS_REFUSED = Gauge(
+    "firtrestle_relays_refused",
+    "Requests of peers that were refused, since the start",
+    registry=REGISTRY,
+)
 UNHEARD = Gauge(
     "firtrestle_instances_unheard_seconds",
     "Time since the last reply of any instance",
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -91,6 +91,13 @@
         """Let the replica's load grow from one request, when it takes requests again."""
         self.in_flight_limit = MIN_IN_FLIGHT_LIMIT
 
+    def forget_failures(self) -> None:
+        """Start anew, with a load that grows from one request, after failures not of its own."""
+        self.ejected_until = Millis(0)
+        self.ejections = self.consecutive_losses = 0
+        self.success_share = 1.0
+        self.limit_return()
+
     def observation_weight(self, now: Millis) -> float:
         """Return the weight of what is known: 1 just after an observation, halved per half-life."""
         return 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE)
@@ -148,6 +155,11 @@
             self.by_id[replica_id] = replica
         return replica
 
+    def forget_failures(self) -> None:
+        """Forget the failures of all replicas, which lost links of this daemon explain."""
+        for replica in self.by_id.values():
+            replica.forget_failures()
+
     def count_by_state(self) -> dict[str, int]:
         """Return how many replicas are in use, and how many are ejected."""
         now = self._clock.now()
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -26,13 +26,15 @@
 from firtrestle.logs import configure_logs
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.members import Members
-from firtrestle.messages import Done, Ping, PingFor, Pull
+from firtrestle.messages import Done, Ping, PingFor, Pull, Relay
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import FINISHED, Cancellable, PeerAddress, PeerClients, PeerFailure
 from firtrestle.rate_limits import RateLimits
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.registry_readers import ReaderRole, RegistryProgress
+from firtrestle.relay_servers import RelayServer
+from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import FleetSize, ReplicaSubsets
 from firtrestle.replicas import Replicas
@@ -43,6 +45,7 @@
 from firtrestle.settings import Settings, load_settings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from firtrestle.uplink_reports import UplinkReports
 from firtrestle.uplinks import Uplink, UplinkMonitor, UplinkState
 
 HOUSEKEEPING_INTERVAL = Millis(500)
@@ -131,6 +134,14 @@
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
+        self._uplink_reports = UplinkReports(self.items, self._members, self._uplink, clock)
+        self._relays = Relays(
+            settings.daemon.id,
+            clock,
+            rng,
+            self._uplink_reports.reaching_peers,
+            self._members.call_within,
+        )
         tools = ServiceTools(
             clock=clock,
             rng=rng,
@@ -147,10 +158,12 @@
             slow_reports=self._slow_reports,
             loop=self._loop,
             uplink=self._uplink,
+            relays=self._relays,
             data_centre=settings.daemon.data_centre,
             reply_memory_bytes=reply_memory.limit_bytes,
         )
         self.state = RouteState(RouteTable())
+        self._relay_server = RelayServer(tools, self.state)
         self._reader_role = ReaderRole(
             self._progress, self._members, clock, rng, self.instances.set_registry_reachable
         )
@@ -215,6 +228,7 @@
             self._crashes.confirm_unreachable(self._uplink.heard_at)
             self._crashes.expire()
             self._pools.close_stale()
+            self._uplink_reports.publish()
             self._update_fleet_size()
             await sleep(HOUSEKEEPING_INTERVAL)
 
@@ -230,6 +244,10 @@
     def _on_uplink_change(self, before: UplinkState) -> None:
         if self._uplink.state is UplinkState.DOWN:
             self._crashes.discard_unconfirmed()
+            self._pools.abandon("this daemon's links to the instances are lost")
+        elif self._uplink.state is UplinkState.UP and before is not UplinkState.SUSPECT:
+            self._replicas.forget_failures()
+        self._uplink_reports.publish()
 
     def _avoid_slow(self, replica_id: ReplicaId, until: Millis) -> None:
         if self.instances.get(replica_id) is not None:
@@ -339,6 +357,9 @@
         metrics.REPORTED_SLOW.set(self._slow_reports.slow_count())
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
+        metrics.RELAYED.set(self._relays.relayed)
+        metrics.RELAYS_SERVED.set(self._relay_server.served)
+        metrics.RELAYS_REFUSED.set(self._relay_server.refused)
         metrics.UNHEARD.set(self._uplink.lost_for() / MILLIS_PER_SECOND)
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
@@ -430,6 +451,9 @@
             case Pull():
                 self._slow_reports.merge_rows(value.slow)
                 return self._gossiper.serve_pull(value)
+            case Relay():
+                await self._pause_guard.wait_until_refreshed()
+                return await self._relay_server.serve(value)
         return Done(True)
 
 
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -15,8 +15,9 @@
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.instance_replies import CallerMessage
 from firtrestle.registry_readers import RegistryProgress
+from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
-from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
+from firtrestle.service_gathers import ServiceGather, ServiceTools
 
 RESPONSE_RESERVE = Millis(10)  # kept back from the caller's deadline to transmit the response
 KINDS_WORTH_RETRYING = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
@@ -154,6 +155,7 @@
             sent=summary.sent,
             hedges=summary.hedges,
             connections_opened=gather.connections_opened,
+            relayed_to=summary.relayed_to,
             latency_ms=round(latency, 1),
             target_ms=round(routed.route.latency_target, 1),
             busy_ms=round(self._tools.loop.busy_time() - routed.busy_at_arrival, 1),
@@ -178,6 +180,7 @@
             ran=str(refused.ran),
             detail=refused.detail,
             sent=gather.attempt_summary.sent if gather is not None else 0,
+            relayed_to=gather.attempt_summary.relayed_to if gather is not None else "",
             after_ms=round(self._clock.now() - arrived_at, 1),
         ).info("refused")
         signals.query_refused.send(route_name, refused=refused)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -14,31 +14,28 @@
 from firtrestle.attempts import Attempt, ShardState
 from firtrestle.backoffs import NO_PAUSE, Backoffs
 from firtrestle.clocks import Clock, Millis
-from firtrestle.crash_records import CrashRecords, message_fingerprint
+from firtrestle.crash_records import CrashRecords
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.gathers import Gather
 from firtrestle.hedgers import Hedger, Progress
+from firtrestle.http_clients import MAX_REPLY_BYTES
 from firtrestle.instance_pools import InstanceCall, InstancePools
-from firtrestle.instance_replies import CallerMessage, InstanceReply
+from firtrestle.instance_replies import InstanceReply
 from firtrestle.instances import Instance, Instances
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
 from firtrestle.rate_limits import RateLimits
+from firtrestle.relays import Relays, RelayTerms
 from firtrestle.repeat_budgets import RepeatBudgets
 from firtrestle.replica_choosers import ReplicaChooser
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replica, Replicas
-from firtrestle.routes import Route, RouteTable
+from firtrestle.routed_requests import AttemptSummary, RoutedRequest
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
-from firtrestle.uplinks import Uplink
+from firtrestle.uplinks import Uplink, UplinkState
 
-# Share of the latency target for what the daemon does not see: the target counts from the caller's
-# first try, so it includes connecting and both ways across the network, as well as the sending.
-UNSEEN_TIME_SHARE = 0.3
-MIN_UNSEEN_TIME = Millis(10)
-MAX_UNSEEN_TIME = Millis(20)
 # Share of the latency target. An attempt that is older when the gather ends counts as overdue: its
 # reply would be of no use to the answer.
 MIN_OVERDUE_SHARE = 0.5
@@ -73,6 +70,7 @@
     slow_reports: SlowReports
     loop: LoopMonitor
     uplink: Uplink
+    relays: Relays
     data_centre: str
     reply_memory_bytes: int
     _last_serving_by_service: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
@@ -91,52 +89,18 @@
         return serving
 
 
-@dataclass(frozen=True, slots=True)
-class RoutedRequest:
-    """Represent a caller's request, pinned to the route and route table it started with."""
-
-    message: CallerMessage
-    route: Route
-    table: RouteTable
-    arrived_at: Millis
-    deadline: Millis
-    busy_at_arrival: Millis = Millis(0)  # busy time of the event loop before the request
-
-    @property
-    def fingerprint(self) -> str:
-        """Return the request's fingerprint; computed on demand, as only failures need it."""
-        return message_fingerprint(self.message)
-
-    @property
-    def answer_by(self) -> Millis:
-        """Return the latest time at which an answer still meets the latency target."""
-        target = self.route.latency_target
-        unseen = min(max(target * UNSEEN_TIME_SHARE, MIN_UNSEEN_TIME), MAX_UNSEEN_TIME)
-        return Millis(self.arrived_at + target - unseen)
-
-
-@dataclass(slots=True)
-class _AttemptSummary:
-    """Count a request's attempts and keep the reasons of its failures."""
-
-    sent: int = 0
-    hedges: int = 0
-    not_run_count: int = 0  # attempts proven not to have run
-    reason_by_service: dict[str, SubOutcome] = field(default_factory=dict)
-    last_failure: InstanceReply | None = None
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether an attempt ran or may have run; those in flight may have."""
-        return self.sent > self.not_run_count
-
-
 class ServiceGather(Gather):
     """Run one request over its services, each of which is one shard of the gather."""
 
     def __init__(
-        self, tools: ServiceTools, request: RoutedRequest, services: tuple[str, ...]
+        self,
+        tools: ServiceTools,
+        request: RoutedRequest,
+        services: tuple[str, ...],
+        relay_terms: RelayTerms | None = None,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
     ) -> None:
+        """Prepare a request of this daemon's caller, or of a peer's on the terms of its relay."""
         super().__init__(tools)
         self._tools: ServiceTools = tools
         self._request = request
@@ -146,25 +110,97 @@
         self._numbers = itertools.count(1)
         self._latencies: list[Millis] = []
         self._call_by_attempt: dict[int, InstanceCall] = {}
-        self.attempt_summary = _AttemptSummary()
+        self.attempt_summary = AttemptSummary()
         # All replies of a gather together fit into the memory for replies.
         memory_share = max(MIN_PART_BOUND, tools.reply_memory_bytes // len(services))
-        self._max_reply_bytes = min(memory_share, max_part_bytes(self._route.merge))
+        bound = min(max_reply_bytes, max_part_bytes(self._route.merge))
+        self._max_reply_bytes = min(memory_share, bound)
+        self._is_relay = relay_terms is not None
+        terms = relay_terms or RelayTerms(services)
+        self._is_counted = terms.is_counted
+        self._tried_before = terms.tried_by_service
+        self._tried_by_service: dict[str, int] = {}  # of services given up here
         self._pause_by_service: dict[str, Millis] = {}  # those given up as all instances pause
 
     async def run(self) -> Answer | Refused:
         """Return the merged answer, or a refusal that says whether the request may have run."""
-        for service in self._services:
-            self._tools.budgets.for_service(service).earn()
+        await self.collect()
+        if self._parts.reply_by_service and self._has_least_coverage():
+            return merge(self._route.merge, self._parts)
+        return self._failure_answer() or self._refusal()
+
+    async def collect(self) -> None:
+        """Get the services' replies, from here or by way of a peer that reaches the instances."""
+        if self._is_relay:
+            await self._collect_here()
+            return
+        uplink, relays = self._tools.uplink, self._tools.relays
+        may_wait = uplink.state is not UplinkState.DOWN and not relays.has_peers()
+        if uplink.admits(self._route.repeatable) or may_wait:
+            await self._collect_here()
+            if not uplink.is_lost:
+                return
+        await self._relay_missing()
+
+    async def _collect_here(self) -> None:
+        self._count()
         await self._gather(range(len(self._services)))
         self._tools.hedger.learn(self._route.name, self._latencies)
         for shard, state in list(self._open_by_shard.items()):
             self._record_overdue(state)
             reason = SubOutcome.DEADLINE if state.attempts else state.last_failure
             self._give_up_shard(shard, reason)
-        if self._parts.reply_by_service and self._has_least_coverage():
-            return merge(self._route.merge, self._parts)
-        return self._failure_answer() or self._refusal()
+
+    def _count(self) -> None:
+        """Credit the services' repeat budgets with the request, once over all daemons."""
+        if not self._is_counted:
+            self._is_counted = True
+            for service in self._services:
+                self._tools.budgets.for_service(service).earn()
+
+    async def _relay_missing(self) -> None:
+        """Let a peer run the services without a reply, if enough of them may still be run."""
+        summary = self.attempt_summary
+        services = tuple(service for service in self._services if self._may_relay(service))
+        replies = len(self._parts.reply_by_service)
+        needed = max(1, math.ceil(len(self._services) * self._route.least_coverage - ROUNDING))
+        if services and replies + len(services) >= needed:
+            terms = RelayTerms(
+                services,
+                max(0.0, (needed - replies) / len(services)),
+                {name: tried for name, tried in self._tried_by_service.items() if tried},
+                self._is_counted,
+            )
+            result = await self._tools.relays.run(self._request, terms)
+            summary.relayed_to = result.peer_id
+            summary.sent += result.summary.sent
+            summary.hedges += result.summary.hedges
+            summary.not_run_count += result.summary.not_run_count
+            summary.last_failure = result.summary.last_failure or summary.last_failure
+            summary.reason_by_service |= result.summary.reason_by_service
+            self._parts.reply_by_service |= result.reply_by_service
+        for service in self._services:
+            if service in self._parts.reply_by_service:
+                summary.reason_by_service.pop(service, None)
+            else:
+                summary.reason_by_service.setdefault(service, SubOutcome.UNREACHABLE)
+
+    def _may_relay(self, service: str) -> bool:
+        """Return whether a peer may run a service; if that repeats an attempt, spend a repeat."""
+        if service in self._parts.reply_by_service:
+            return False
+        tried = self._tried_by_service.get(service, 0)
+        if not tried:
+            return True
+        if not self._route.repeatable or tried >= self._route.max_attempts:
+            return False
+        budgets = self._tools.budgets
+        return budgets.for_service(service).spend(budgets.slack)
+
+    @property
+    def reply_by_service(self) -> dict[str, InstanceReply]:
+        """Return the replies collected so far."""
+        return self._parts.reply_by_service
 
     @property
     def is_repeatable(self) -> bool:
@@ -378,8 +414,16 @@
         if not (self._may_retry(state, reply) and self._send_next(state.number)):
             self._give_up_shard(state.number, outcome)
 
+    def _give_up_shard(self, shard: int, reason: SubOutcome) -> None:
+        state = self._open_by_shard.get(shard)
+        if state is not None:
+            self._tried_by_service[self._services[shard]] = state.tries - state.unreached
+        super()._give_up_shard(shard, reason)
+
     def _may_retry(self, state: ShardState, reply: InstanceReply) -> bool:
         """Return whether the shard may be retried, and spend a repeat if the retry costs one."""
+        if self._tools.uplink.state is UplinkState.DOWN:
+            return False
         if reply.may_have_run and not self._route.repeatable:
             return False
         if not self._has_attempts_left(state):
@@ -389,7 +433,8 @@
         return self._has_untried_replica(state) and self._spend_repeat(state)
 
     def _has_attempts_left(self, state: ShardState) -> bool:
-        return state.tries - state.unreached < self._route.max_attempts
+        tried_before = self._tried_before.get(self._services[state.number], 0)
+        return tried_before + state.tries - state.unreached < self._route.max_attempts
 
     def _has_untried_replica(self, state: ShardState) -> bool:
         """Return whether an untried replica has capacity.
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -103,6 +103,8 @@
 
     def record_failure(self, instance: Instance) -> None:
         """Record that an instance was not reached, or that its connection broke."""
+        if self.state is UplinkState.DOWN:
+            return
         if not self._service_by_failed_id:
             self._failing_since = self._clock.now()
         self._service_by_failed_id[instance.id] = instance.service
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -21,11 +21,13 @@
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
 from firtrestle.rate_limits import RateLimits
+from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
+from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import Route, RouteTable, ServiceTerms, TopRecords, WeightedService
-from firtrestle.service_gathers import RoutedRequest, ServiceGather, ServiceTools
+from firtrestle.service_gathers import ServiceGather, ServiceTools
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.uplinks import Uplink
@@ -68,6 +70,10 @@
     )
 
 
+async def call_no_peer(peer, relay, timeout):
+    raise AssertionError("no peer is to be called")
+
+
 @dataclass
 class FakePools:
     """Answer each call as `behave` says: a delay in ms, math.inf for no reply, and a reply."""
@@ -193,6 +199,7 @@
                 slow_reports=SlowReports(clock, instances.count, lambda replica_id, until: None),
                 loop=FakeLoop(),
                 uplink=uplink,
+                relays=Relays("d1", clock, rng, list, call_no_peer),
                 data_centre="dc",
                 reply_memory_bytes=20_000_000,
             )
--- /dev/null
+++ b/packages/firtrestle/tests/test_relays.py
@@ -0,0 +1,375 @@
+"""Requests that a peer runs, whole or in part, and the promises that hold over both daemons."""
+
+import math
+import random
+from dataclasses import dataclass, field, replace
+from types import SimpleNamespace
+
+import pytest
+import trio
+from firtrestle.answers import Answer
+from firtrestle.clocks import Millis, sleep
+from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.frames import unpack
+from firtrestle.members import Member, MemberStatus
+from firtrestle.messages import Done, Relayed, encode, new_unpacker
+from firtrestle.peers import PeerFailure
+from firtrestle.relay_servers import MAX_RUNNING, RelayServer
+from firtrestle.relays import Relays
+from firtrestle.repeat_budgets import RepeatBudgets
+from firtrestle.uplinks import Uplink, UplinkState
+from route_fakes import (
+    TERMS,
+    RouteHarness,
+    good,
+    lost,
+    plain_route,
+    record,
+    run_with_harness,
+    scatter_route,
+    shed,
+    unreachable,
+)
+
+
+def over_the_wire(message):
+    ((_, decoded),) = unpack(new_unpacker(), encode(1, message))
+    return decoded
+
+
+@dataclass
+class Peer:
+    """Serve relays like a daemon; `interfere` may answer in its place."""
+
+    server: RelayServer
+    state: SimpleNamespace
+    interfere: dict = field(default_factory=dict)  # by peer id
+    asked: list = field(default_factory=list)
+    relays: list = field(default_factory=list)
+
+    async def call(self, member, relay, timeout):
+        self.asked.append(member.id)
+        self.relays.append(relay)
+        if member.id in self.interfere:
+            return self.interfere[member.id]
+        with trio.move_on_after(timeout / 1_000):
+            return over_the_wire(await self.server.serve(over_the_wire(relay)))
+        return PeerFailure(True, "took too long")
+
+
+class IdleLoop:
+    was_idle = True
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.busy_share = 0.0
+
+    def busy_time(self):
+        return Millis(self.clock.now() * self.busy_share)
+
+
+def member(name):
+    return Member(name, 1, MemberStatus.ALIVE, "dc", "h", 1, 2)
+
+
+def cut_daemon(harness, peers=("p1",), state=UplinkState.DOWN):
+    """Return a daemon without links to the instances, and its peers, which share the harness's."""
+    tools = harness.tools
+    loop = IdleLoop(tools.clock)
+    serving_state = SimpleNamespace(table=harness.table, stopping=False, running=0)
+    peer = Peer(RelayServer(replace(tools, loop=loop), serving_state), serving_state)
+    peer.loop = loop
+    uplink = Uplink(tools.clock, random.Random(2))
+    uplink.state = state
+    budgets = RepeatBudgets(TERMS, tools.clock, Millis(tools.clock.now() - 10_000))
+    budgets.fleet_size = 1
+    members = [member(name) for name in peers]
+    relays = Relays("d0", tools.clock, random.Random(3), lambda: members, peer.call)
+    cut = replace(tools, uplink=uplink, relays=relays, budgets=budgets)
+    return RouteHarness(cut, harness.pools, harness.table), peer
+
+
+def test_a_whole_gather_is_run_by_a_peer():
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        answer, gather = await cut.ask(scatter_route(3))
+        assert isinstance(answer, Answer)
+        assert answer.body == record("s2") + record("s1") + record("s0")
+        assert (len(answer.stamps), answer.missing) == (3, 0)
+        assert (gather.attempt_summary.sent, gather.attempt_summary.relayed_to) == (3, "p1")
+        assert len(harness.pools.sent) == 3
+        assert peer.state.running == 0
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_only_records_that_the_answer_may_need_are_sent_back():
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        results = []
+        call = peer.call
+
+        async def observed(*arguments):
+            results.append(await call(*arguments))
+            return results[-1]
+
+        cut.tools.relays._call_peer = observed
+        route = scatter_route(3)
+        answer, _ = await cut.ask(replace(route, merge=replace(route.merge, count=4)))
+        assert sum(len(row[4]) for row in results[0].replies) == 4 * 16
+        assert len(answer.body) == 4 * 16
+        assert len(answer.stamps) == 3
+
+    run_with_harness(lambda instance, nth: (5, good(instance, *"abcdefgh")), body)
+
+
+def test_the_peer_runs_only_the_services_that_lack_a_reply():
+    """The links are lost after one of four services has replied."""
+
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.UP)
+
+        async def lose_links():
+            await sleep(Millis(50))
+            cut.tools.uplink.state = UplinkState.DOWN
+            for call in calls:
+                call.fail("links lost")
+
+        calls = []
+        start = harness.pools.start
+
+        def start_recorded(instance, call, connections):
+            calls.append(call)
+            return start(instance, call, connections)
+
+        harness.pools.start = start_recorded
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lose_links)
+            answer, _ = await cut.ask(scatter_route(4))
+        assert isinstance(answer, Answer)
+        assert len(answer.stamps) == 4
+        (relay,) = peer.relays
+        assert sorted(relay.services) == ["s1", "s2", "s3"]
+        assert relay.is_counted
+
+    def behave(instance, nth):
+        is_silent = instance.service != "s0" and instance.service not in asked_before
+        asked_before.add(instance.service)
+        return (math.inf if is_silent else 5), good(instance)
+
+    asked_before = set()
+    run_with_harness(behave, body, services=4)
+
+
+def test_attempts_of_both_daemons_together_keep_to_the_route_s_maximum():
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.UP)
+
+        async def lose_links():
+            await sleep(Millis(20))
+            cut.tools.uplink.state = UplinkState.DOWN
+            for call in calls:
+                call.fail("links lost")
+
+        calls = []
+        start = harness.pools.start
+
+        def start_recorded(instance, call, connections):
+            calls.append(call)
+            call.sent_at = harness.tools.clock.now()
+            return start(instance, call, connections)
+
+        harness.pools.start = start_recorded
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lose_links)
+            await cut.ask(scatter_route(3, max_attempts=2, latency_target=Millis(10_000)))
+        assert [set(relay.tried.values()) for relay in peer.relays] == [{1}]
+        assert len(harness.pools.sent) <= 3 * 2
+
+    run_with_harness(lambda instance, nth: (math.inf, good(instance)), body, services=3)
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_request_that_may_have_reached_a_peer_is_not_sent_to_another(repeatable):
+    async def body(harness):
+        cut, peer = cut_daemon(harness, peers=("p1", "p2"))
+        gone = PeerFailure(True, "the stream ended")
+        peer.interfere = {"p1": gone, "p2": gone}
+        refused, _ = await cut.ask(plain_route(repeatable=repeatable))
+        assert isinstance(refused, Refused)
+        assert refused.ran is Ran.UNKNOWN
+        assert len(peer.asked) == 1
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+@pytest.mark.parametrize(
+    "answer", [PeerFailure(False, "connecting failed"), Relayed(refusal="overloaded")]
+)
+def test_another_peer_is_asked_after_a_failure_to_connect_or_a_refusal(answer):
+    async def body(harness):
+        cut, peer = cut_daemon(harness, peers=("p1", "p2"))
+        peer.interfere = {"p1": answer}
+        for _ in range(4):
+            assert isinstance((await cut.ask(plain_route()))[0], Answer)
+        assert peer.asked.count("p1") <= 1
+        assert len(harness.pools.sent) == 4
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+@pytest.mark.parametrize("peers", [(), ("p1", "p2")])
+def test_a_request_that_no_peer_takes_is_refused_at_once_and_has_not_run(peers):
+    async def body(harness):
+        cut, peer = cut_daemon(harness, peers=peers)
+        peer.state.stopping = True
+        started_at = harness.tools.clock.now()
+        refused, _ = await cut.ask(plain_route())
+        assert (refused.kind, refused.ran) == (ErrorKind.NO_TARGET, Ran.FALSE)
+        assert harness.tools.clock.now() == started_at
+        assert harness.pools.sent == []
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+@pytest.mark.parametrize(
+    ("reply", "ran"), [(shed, Ran.FALSE), (unreachable, Ran.FALSE), (lost, Ran.UNKNOWN)]
+)
+def test_what_the_peer_says_of_attempts_decides_whether_the_request_has_run(reply, ran):
+    async def body(harness):
+        cut, _ = cut_daemon(harness)
+        refused, _ = await cut.ask(plain_route())
+        assert refused.ran is ran
+
+    run_with_harness(lambda instance, nth: (5, reply()), body)
+
+
+@pytest.mark.parametrize("answer", [Done(False, "failed"), Relayed(replies=[["s0", 1]]), None])
+def test_an_answer_that_can_t_be_read_leaves_open_whether_the_request_has_run(answer):
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        peer.interfere = {"p1": answer}
+        refused, _ = await cut.ask(plain_route())
+        assert refused.ran is Ran.UNKNOWN
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_malformed_relay_is_refused_and_nothing_is_sent():
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        await cut.ask(scatter_route(3))
+        good_relay, sent_before = peer.relays[0], len(harness.pools.sent)
+        for change in (
+            {"services": []},
+            {"services": ["s0", 7]},
+            {"merge": [0, 16]},
+            {"merge": []},
+            {"headers": [["a"]]},
+            {"body": "text"},
+            {"left_ms": "soon"},
+            {"tried": {"s0": "one"}},
+            {"max_attempts": 0},
+        ):
+            assert (await peer.server.serve(replace(good_relay, **change))).refusal
+        assert len(harness.pools.sent) == sent_before
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_peer_that_is_stopping_overloaded_or_cut_off_itself_refuses():
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        await cut.ask(scatter_route(3))
+        relay, server = peer.relays[0], peer.server
+
+        async def refusal():
+            return (await server.serve(relay)).refusal
+
+        assert await refusal() == ""
+        peer.state.stopping = True
+        assert await refusal() == "stopping"
+        peer.state.stopping = False
+        server.running = MAX_RUNNING
+        assert await refusal() == "overloaded"
+        server.running = 0
+        peer.loop.busy_share = 0.95
+        await sleep(Millis(10_000))
+        assert await refusal() == "overloaded"
+        peer.loop.busy_share = 0.0
+        harness.tools.uplink.state = UplinkState.DOWN
+        assert await refusal() == "no links to the instances"
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_relay_goes_over_one_hop_only():
+    """The peer loses its links while it runs a relay, and has peers of its own."""
+
+    async def body(harness):
+        asked = []
+
+        async def call_third(third, relay, timeout):
+            asked.append(third.id)
+            return Relayed(refusal="none")
+
+        clock = harness.tools.clock
+        thirds = Relays("p1", clock, random.Random(1), lambda: [member("p3")], call_third)
+        harness.tools.relays = thirds
+        cut, _ = cut_daemon(harness)
+
+        async def lose_links():
+            await sleep(Millis(20))
+            harness.tools.uplink.state = UplinkState.DOWN
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lose_links)
+            refused, _ = await cut.ask(scatter_route(3))
+        assert isinstance(refused, Refused)
+        assert asked == []
+
+    run_with_harness(lambda instance, nth: (50, unreachable()), body)
+
+
+def test_a_relay_is_counted_towards_the_repeat_budgets_once_over_both_daemons():
+    async def body(harness):
+        cut, _ = cut_daemon(harness)
+        await cut.ask(scatter_route(3))
+
+        def requests(tools):
+            return tools.budgets.for_service("s0")._requests._total()
+
+        assert (requests(cut.tools), requests(harness.tools)) == (0, 1)
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_peer_stops_its_attempts_when_the_caller_leaves():
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        with trio.move_on_after(0.1):
+            await cut.ask(scatter_route(3))
+        assert peer.state.running == 0
+        assert all(record.in_flight == 0 for record in harness.tools.replicas.by_id.values())
+
+    run_with_harness(lambda instance, nth: (math.inf, good(instance)), body)
+
+
+def test_the_deadline_of_a_relay_ends_before_that_of_its_request():
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        await cut.ask(scatter_route(3), time_left=400)
+        assert 0 < peer.relays[0].left_ms < 400
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_requests_of_a_daemon_are_spread_over_its_peers():
+    async def body(harness):
+        cut, peer = cut_daemon(harness, peers=[f"p{number}" for number in range(12)])
+        for _ in range(80):
+            await cut.ask(plain_route())
+        assert len(set(peer.asked)) == 4
+        assert max(peer.asked.count(name) for name in set(peer.asked)) <= 40
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
