Let peers run the services of which no instance is reached from here

While open connections to the searchers work and new ones fail, replies go on, so that the daemon's links count as up; services without a usable connection were given up. Now such services are relayed like those of lost links, before the answer's latest time if the rest covers enough. A service that the peer doesn't reach either isn't relayed again for a second. test_services_that_are_not_reached_from_here_are_run_by_a_peer (2) and test_a_service_that_no_daemon_reaches_is_seldom_relayed fail without it.

--- a/packages/firtrestle/firtrestle/relays.py
+++ b/packages/firtrestle/firtrestle/relays.py
@@ -27,6 +27,7 @@
 SET_ASIDE_TIME = Millis(500)  # for a peer that refused or was not reached
 # Part of the time left that a peer doesn't get, so that its answer arrives before the deadline.
 HOP_RESERVE = Millis(5)
+UNREACHED_TIME = Millis(1_000)  # in which a service that a peer didn't reach either isn't relayed
 MIN_TIME_LEFT = Millis(10)  # with less, a request is not relayed
 MAX_REPLY_BYTES = 4_000_000  # of one service; below the size of a frame
 
@@ -83,11 +84,17 @@
         self._call_peer = call_peer
         self._running_by_peer: Counter[str] = Counter()
         self._set_aside_until_by_peer: dict[str, Millis] = {}
+        self._unreached_until_by_service: dict[str, Millis] = {}
 
     def has_peers(self) -> bool:
         """Return whether a peer may be asked now."""
         return bool(self._peers())
 
+    def may_reach(self, service: str) -> bool:
+        """Return whether a peer may reach a service that this daemon doesn't."""
+        unreached_until = self._unreached_until_by_service.get(service, 0.0)
+        return unreached_until <= self._clock.now() and self.has_peers()
+
     async def run(self, request: RoutedRequest, terms: RelayTerms) -> RelayResult:
         """Let a peer run a request for some of its services."""
         for peer in self._peers()[:MAX_PEERS_ASKED]:
@@ -102,6 +109,7 @@
             self.relayed += 1
             result = _decode_result(answer, terms)
             result.peer_id = peer.id
+            self._record_unreached(result)
             self._log(request, terms, result, answer)
             return result
         self.refused += 1
@@ -135,6 +143,12 @@
             request_id=request.message.request_id, peer=peer.id, reason=reason, run=False
         ).info("peer passed over")
 
+    def _record_unreached(self, result: RelayResult) -> None:
+        until = Millis(self._clock.now() + UNREACHED_TIME)
+        for service, reason in result.summary.reason_by_service.items():
+            if reason in (SubOutcome.UNREACHABLE, SubOutcome.NO_REPLICA):
+                self._unreached_until_by_service[service] = until
+
     def _log(
         self, request: RoutedRequest, terms: RelayTerms, result: RelayResult, answer: Any
     ) -> None:
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -6,7 +6,7 @@
 import math
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
@@ -26,7 +26,7 @@
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
 from firtrestle.rate_limits import RateLimits
-from firtrestle.relays import Relays, RelayTerms
+from firtrestle.relays import RelayResult, Relays, RelayTerms
 from firtrestle.repeat_budgets import RepeatBudgets
 from firtrestle.replica_choosers import ReplicaChooser
 from firtrestle.replica_subsets import ReplicaSubsets
@@ -138,7 +138,7 @@
         may_wait = uplink.state is not UplinkState.DOWN and not relays.has_peers()
         if uplink.admits(self._route.repeatable) or may_wait:
             await self._collect_here()
-            if not uplink.is_lost:
+            if not uplink.is_lost and not any(map(self._is_left_to_peers, self._services)):
                 return
         await self._relay_missing()
 
@@ -160,7 +160,6 @@
 
     async def _relay_missing(self) -> None:
         """Let a peer run the services without a reply, if enough of them may still be run."""
-        summary = self.attempt_summary
         services = tuple(service for service in self._services if self._may_relay(service))
         replies = len(self._parts.reply_by_service)
         needed = max(1, math.ceil(len(self._services) * self._route.least_coverage - ROUNDING))
@@ -171,24 +170,43 @@
                 {name: tried for name, tried in self._tried_by_service.items() if tried},
                 self._is_counted,
             )
-            result = await self._tools.relays.run(self._request, terms)
-            summary.relayed_to = result.peer_id
-            summary.sent += result.summary.sent
-            summary.hedges += result.summary.hedges
-            summary.not_run_count += result.summary.not_run_count
-            summary.last_failure = result.summary.last_failure or summary.last_failure
-            summary.reason_by_service |= result.summary.reason_by_service
-            self._parts.reply_by_service |= result.reply_by_service
+            request = replace(self._request, deadline=self._stop_at())
+            self._merge_relayed(await self._tools.relays.run(request, terms))
         for service in self._services:
-            if service in self._parts.reply_by_service:
-                summary.reason_by_service.pop(service, None)
-            else:
-                summary.reason_by_service.setdefault(service, SubOutcome.UNREACHABLE)
+            if service not in self._parts.reply_by_service:
+                reasons = self.attempt_summary.reason_by_service
+                reasons.setdefault(service, SubOutcome.UNREACHABLE)
+
+    def _merge_relayed(self, result: RelayResult) -> None:
+        summary, theirs = self.attempt_summary, result.summary
+        summary.relayed_to = result.peer_id
+        summary.sent += theirs.sent
+        summary.hedges += theirs.hedges
+        summary.not_run_count += theirs.not_run_count
+        summary.last_failure = theirs.last_failure or summary.last_failure
+        summary.reason_by_service |= theirs.reason_by_service
+        for service, reply in result.reply_by_service.items():
+            self._parts.reply_by_service[service] = reply
+            summary.reason_by_service.pop(service, None)
+
+    def _is_left_to_peers(self, service: str) -> bool:
+        """Return whether no instance of a service was reached from here, and a peer may reach one.
+
+        So it is while connections that are open work, and new ones don't.
+        """
+        return (
+            not self._is_relay
+            and self.attempt_summary.reason_by_service.get(service) is SubOutcome.UNREACHABLE
+            and not self._tried_by_service.get(service)
+            and self._tools.relays.may_reach(service)
+        )
 
     def _may_relay(self, service: str) -> bool:
         """Return whether a peer may run a service; if that repeats an attempt, spend a repeat."""
         if service in self._parts.reply_by_service:
             return False
+        if not self._tools.uplink.is_lost and self._is_counted:
+            return self._is_left_to_peers(service)
         tried = self._tried_by_service.get(service, 0)
         if not tried:
             return True
@@ -460,8 +478,11 @@
         self.attempt_summary.reason_by_service[service] = reason
 
     def _should_stop(self) -> bool:
-        """Return whether the least coverage is out of reach."""
-        missing = len(self.attempt_summary.reason_by_service)
+        """Return whether the least coverage is out of reach, also with the help of a peer."""
+        reasons = self.attempt_summary.reason_by_service
+        if self._covers_enough(len(self._services) - len(reasons)):
+            return False
+        missing = sum(not self._is_left_to_peers(service) for service in reasons)
         return not self._covers_enough(len(self._services) - missing)
 
     def _has_least_coverage(self) -> bool:
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -20,6 +20,7 @@
 from firtrestle.uplinks import Uplink, UplinkState
 from route_fakes import (
     TERMS,
+    FakePools,
     RouteHarness,
     good,
     lost,
@@ -373,3 +374,39 @@
         assert max(peer.asked.count(name) for name in set(peer.asked)) <= 40
 
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+@pytest.mark.parametrize("gathered", [True, False])
+def test_services_that_are_not_reached_from_here_are_run_by_a_peer(gathered):
+    """Open connections work, and new ones fail: all instances of s0 are unreachable from here."""
+
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.UP)
+        pools = FakePools(harness.pools.nursery, behave_here, cut.tools.uplink)
+        cut = RouteHarness(replace(cut.tools, pools=pools), pools, harness.table)
+        route = scatter_route(4, least_coverage=1.0) if gathered else plain_route()
+        answer, gather = await cut.ask(route)
+        assert isinstance(answer, Answer)
+        assert answer.missing == 0
+        assert [relay.services for relay in peer.relays] == [["s0"]]
+        assert gather.attempt_summary.reason_by_service == {}
+
+    def behave_here(instance, nth):
+        return 1, unreachable() if instance.service == "s0" else good(instance)
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body, services=4)
+
+
+def test_a_service_that_no_daemon_reaches_is_seldom_relayed():
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.UP)
+        for _ in range(20):
+            answer, _ = await cut.ask(scatter_route(10))
+            assert isinstance(answer, Answer)
+            assert answer.missing == 1
+        assert len(peer.relays) == 1
+
+    def behave(instance, nth):
+        return 1, unreachable() if instance.service == "s0" else good(instance)
+
+    run_with_harness(behave, body)
