Probe instances when a peer reports that it has lost its links

A reply during the probes counts more. test_the_loss_of_a_peer_makes_an_idle_daemon_probe_its_own_links covers both outcomes.

--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -134,7 +134,13 @@
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
-        self._uplink_reports = UplinkReports(self.items, self._members, self._uplink, clock)
+        self._uplink_reports = UplinkReports(
+            self.items,
+            self._members,
+            self._uplink,
+            clock,
+            self._uplink_monitor.record_loss_of_peer,
+        )
         self._relays = Relays(
             settings.daemon.id,
             clock,
--- a/packages/firtrestle/firtrestle/uplink_reports.py
+++ b/packages/firtrestle/firtrestle/uplink_reports.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from firtrestle.clocks import Clock
-from firtrestle.gossip_maps import GossipMap
+from firtrestle.gossip_maps import GossipMap, Item
 from firtrestle.members import Member, Members, MemberStatus
 from firtrestle.uplinks import Uplink
 
@@ -19,12 +20,21 @@
     never asked to run another's requests.
     """
 
-    def __init__(self, items: GossipMap, members: Members, uplink: Uplink, clock: Clock) -> None:
+    def __init__(
+        self,
+        items: GossipMap,
+        members: Members,
+        uplink: Uplink,
+        clock: Clock,
+        on_loss: Callable[[], None] = lambda: None,
+    ) -> None:
         self._items = items
         self._members = members
         self._uplink = uplink
         self._clock = clock
+        self._on_loss = on_loss
         items.add_validator(UPLINK_PREFIX, _is_report)
+        items.add_listener(UPLINK_PREFIX, self._on_item)
 
     def publish(self) -> None:
         """Publish this daemon's report if it has changed."""
@@ -39,6 +49,11 @@
         """Return the live peers that report to reach the instances."""
         return [member for member in self._members.live_peers() if self._reaches(member)]
 
+    def _on_item(self, key: str, item: Item) -> None:
+        _, reaches = item.value
+        if not reaches and key != UPLINK_PREFIX + self._members.me.id:
+            self._on_loss()
+
     def _reaches(self, member: Member) -> bool:
         item = self._items.by_key.get(UPLINK_PREFIX + member.id)
         return (
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from enum import StrEnum
@@ -20,7 +21,8 @@
 # Fewer silent instances, or those of one service, may be at fault themselves.
 MIN_SILENT_INSTANCES = 4
 MIN_SILENT_SERVICES = 2
-PROBES_AT_ONCE = 3  # to confirm a loss
+PROBES_AT_ONCE = 4  # to confirm a loss
+MIN_REPORTED_PROBE_INTERVAL = Millis(1_000)  # between probes that losses of peers give reason for
 PROBE_TIMEOUT = Millis(150)
 MIN_PROBE_INTERVAL = Millis(250)
 MAX_PROBE_INTERVAL = Millis(1_000)
@@ -140,8 +142,12 @@
             self._change(UplinkState.DOWN, silent=len(service_by_id))
 
     def record_probes(self, connected: bool) -> None:
-        """Record whether one of the instances probed accepted a connection."""
-        if self.state is UplinkState.SUSPECT and not connected:
+        """Record whether one of the instances probed accepted a connection.
+
+        A reply that came while they were probed counts more.
+        """
+        is_silent = self.lost_for() >= MAX_SILENCE
+        if self.state in (UplinkState.UP, UplinkState.SUSPECT) and not connected and is_silent:
             self._change(UplinkState.DOWN)
         elif self.state is UplinkState.DOWN and connected:
             self._next_trial_at = self._clock.now()
@@ -159,7 +165,7 @@
     def _change(self, state: UplinkState, silent: int = 0) -> None:
         before, self.state = self.state, state
         now = self._clock.now()
-        is_loss = state is UplinkState.DOWN and before is UplinkState.SUSPECT
+        is_loss = state is UplinkState.DOWN and before is not UplinkState.TRIAL
         self.losses += is_loss
         logger.bind(
             before=str(before),
@@ -203,6 +209,8 @@
         self._probe_interval = MIN_PROBE_INTERVAL
         self._next_probe_at = Millis(0)
         self._losses_probed = 0
+        self._peer_lost_links = False
+        self._probed_for_peers_at = Millis(-math.inf)
         self._trial_since = Millis(0)
 
     async def run(self) -> None:
@@ -216,10 +224,20 @@
             checked_at = now
             await self._check(now)
 
+    def record_loss_of_peer(self) -> None:
+        """Probe instances soon unless one is heard: the cause of a peer's loss may be shared.
+
+        A daemon with few requests would otherwise notice late, and fail those of peers.
+        """
+        self._peer_lost_links = True
+
     async def _check(self, now: Millis) -> None:
         uplink = self._uplink
         if uplink.state is UplinkState.UP and now - uplink.heard_at < MAX_SILENCE:
+            self._peer_lost_links = False
             return
+        if uplink.state is UplinkState.UP and self._peer_lost_links:
+            await self._probe_for_peers(now)
         if uplink.state is not UplinkState.DOWN:
             since = self._trial_since if uplink.state is UplinkState.TRIAL else Millis(0)
             uplink.check(self._list_silent(since, MAX_SILENCE))
@@ -228,6 +246,13 @@
         elif uplink.state is UplinkState.DOWN and now >= self._next_probe_at:
             await self._probe_for_return(now)
 
+    async def _probe_for_peers(self, now: Millis) -> None:
+        if now - self._probed_for_peers_at >= MIN_REPORTED_PROBE_INTERVAL:
+            self._probed_for_peers_at = now
+            self._peer_lost_links = False
+            if not await self._probe(PROBES_AT_ONCE):
+                self._uplink.record_probes(False)
+
     async def _probe_for_return(self, now: Millis) -> None:
         if self._losses_probed != self._uplink.losses:
             self._losses_probed = self._uplink.losses
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -1,9 +1,11 @@
 """Telling lost links of a daemon from instances that are slow or dead."""
 
 import random
+from dataclasses import replace
 
 import pytest
-from firtrestle.clocks import Millis
+import trio
+from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.instances import Instance
 from firtrestle.uplinks import (
     MAX_SILENCE,
@@ -12,6 +14,7 @@
     RETURN_TIME,
     TRIAL_INTERVAL,
     Uplink,
+    UplinkMonitor,
     UplinkState,
 )
 from manual_clocks import ManualClock
@@ -135,3 +138,46 @@
     uplink.record_heard()
     assert all(uplink.admits(False) for _ in range(100))
     assert uplink.has_heard_since(Millis(clock.at - 1))
+
+
+def test_a_reply_during_the_probes_keeps_the_links_up(uplink, clock):
+    clock.at += MAX_SILENCE
+    uplink.check(instances(9))
+    clock.at += 100
+    uplink.record_heard()
+    clock.at += 50
+    uplink.record_probes(False)
+    assert uplink.state is UplinkState.UP
+
+
+class FakeInstances:
+    """Refuse connections on a port that nothing listens on, or accept them on another."""
+
+    def __init__(self, port):
+        self.port = port
+
+    def all(self):
+        return [replace(instance, host="127.0.0.1", port=self.port) for instance in instances(9)]
+
+
+@pytest.mark.parametrize("accepts", [True, False])
+async def test_the_loss_of_a_peer_makes_an_idle_daemon_probe_its_own_links(accepts, nursery):
+    """No request is under way, so that nothing is silent."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    if accepts:
+        nursery.start_soon(trio.serve_listeners, trio.aclose_forcefully, listeners)
+    else:
+        await listeners[0].aclose()
+    clock = Clock()
+    uplink = Uplink(clock, random.Random(1))
+    monitor = UplinkMonitor(
+        uplink, FakeInstances(port).all, lambda since, duration: [], clock, random.Random(1)
+    )
+    nursery.start_soon(monitor.run)
+    await sleep(Millis(600))
+    assert uplink.state is UplinkState.UP
+    monitor.record_loss_of_peer()
+    await sleep(Millis(200))
+    assert (uplink.state is UplinkState.UP) == accepts
+    nursery.cancel_scope.cancel()
