--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -40,7 +40,7 @@
 from firtrestle.replicas import Replicas
 from firtrestle.route_fronts import RouteFront, RouteState
 from firtrestle.routes import Route, RouteTable, ServiceTerms, TopRecords
-from firtrestle.service_gathers import ServiceTools
+from firtrestle.service_tools import ServiceTools
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.uplinks import Uplink
--- /dev/null
+++ b/packages/firtrestle/firtrestle/availabilities.py
@@ -0,0 +1,105 @@
+"""Say which instances of a service may be asked now, and when the others may be."""
+
+from __future__ import annotations
+
+from firtrestle.backoffs import NO_PAUSE, Backoffs
+from firtrestle.clocks import Clock, Millis
+from firtrestle.instances import Instance, Instances
+from firtrestle.rate_limits import RateLimits
+from firtrestle.replica_subsets import ReplicaSubsets
+from firtrestle.replicas import Replica, Replicas
+from firtrestle.snapshots import ReplicaId
+
+MIN_SUBSET_SUCCESS_SHARE = 0.7  # below it, a replica is replaced in the subset
+
+
+class Availability:
+    """Combine what is known of instances: registrations, departures, pauses, rates and failures."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        data_centre: str,
+        instances: Instances,
+        replicas: Replicas,
+        subsets: ReplicaSubsets,
+        backoffs: Backoffs,
+        rate_limits: RateLimits,
+    ) -> None:
+        self._clock = clock
+        self._data_centre = data_centre
+        self._instances = instances
+        self._replicas = replicas
+        self._subsets = subsets
+        self._backoffs = backoffs
+        self._rate_limits = rate_limits
+        self._last_serving_by_service: dict[str, tuple[Instance, ...]] = {}
+
+    def serving(self, service: str) -> tuple[Instance, ...]:
+        """Return the instances of a service that may get new requests.
+
+        Update `is_remote` on their replica records whenever the list has changed.
+        """
+        serving = self._instances.serving(service)
+        if serving and self._last_serving_by_service.get(service) is not serving:
+            self._last_serving_by_service[service] = serving
+            for instance in serving:
+                record = self._replicas.get(instance.replica_id)
+                record.is_remote = instance.data_centre != self._data_centre
+        return serving
+
+    def is_usable(self, service: str) -> bool:
+        """Return whether an instance of a service takes requests now."""
+        return bool(self.serving(service)) and not self.pause(service)
+
+    def replica_ids(self, service: str, connection_limit: int) -> list[ReplicaId]:
+        """Return the instances of a service that this daemon uses."""
+        serving = self.serving(service)
+        chosen = self._subsets.choose(serving, connection_limit, self._is_healthy)
+        if not self._rate_limits.is_empty and all(
+            self.wait(instance.replica_id) for instance in chosen
+        ):
+            chosen = list(serving)
+        return [instance.replica_id for instance in chosen]
+
+    def pause(self, service: str) -> Millis:
+        """Return how long all instances of a service want no requests, 0 if one takes some."""
+        if not self._some_hold_back:
+            return NO_PAUSE
+        serving = self.serving(service)
+        return min((self.wait(instance.replica_id) for instance in serving), default=NO_PAUSE)
+
+    def wait(self, replica_id: ReplicaId) -> Millis:
+        """Return how long an instance wants no request from this daemon, 0 if it takes one."""
+        if not self._some_hold_back:
+            return NO_PAUSE
+        return max(self._backoffs.left(replica_id), self._rate_limits.wait(replica_id))
+
+    def has_capacity(self, replica: Replica) -> bool:
+        """Return whether a replica may get one more request of this daemon now."""
+        return replica.has_capacity() and not self.wait(replica.id)
+
+    def take(self, replica_id: ReplicaId, connection_limit: int) -> tuple[Instance, int] | None:
+        """Use a permit of an instance; return it and its connections, None if it is gone."""
+        instance = self._instances.get(replica_id)
+        if instance is None:
+            return None
+        self._rate_limits.spend(replica_id)
+        replicas = len(self._instances.serving(instance.service))
+        return instance, self._subsets.plan(connection_limit, replicas).connections
+
+    @property
+    def _some_hold_back(self) -> bool:
+        """Return whether any instance may want no request from this daemon now."""
+        return not (self._backoffs.is_empty and self._rate_limits.is_empty)
+
+    def _is_healthy(self, instance: Instance) -> bool:
+        """Return whether a replica is healthy enough to stay in this daemon's subset."""
+        now = self._clock.now()
+        record = self._replicas.get(instance.replica_id)
+        return (
+            not record.is_ejected(now)
+            and not record.is_reported_slow(now)
+            and record.expected_success(now) >= MIN_SUBSET_SUCCESS_SHARE
+            and not self._backoffs.left(instance.replica_id)
+        )
--- a/packages/firtrestle/firtrestle/relay_servers.py
+++ b/packages/firtrestle/firtrestle/relay_servers.py
@@ -9,14 +9,16 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.messages import Relay, Relayed
-from firtrestle.relays import MAX_REPLY_BYTES, RelayTerms, decode_relay, encode_result
+from firtrestle.relay_messages import RelayTerms, decode_relay, encode_result
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
-from firtrestle.service_gathers import ServiceGather, ServiceTools
+from firtrestle.service_gathers import ServiceGather
+from firtrestle.service_tools import ServiceTools
 
 MAX_RUNNING = 64  # requests of peers at the same time
 MAX_BUSY_SHARE = 0.8  # of the processor; beyond it, this daemon's own callers come first
 LOAD_WINDOW = Millis(300)
+MAX_REPLY_BYTES = 4_000_000  # of one service; below the size of a frame
 
 
 class ServingState(Protocol):
--- /dev/null
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -0,0 +1,79 @@
+"""Gather the replies to a caller's request, by way of a peer where none can be had from here."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from firtrestle.outcomes import SubOutcome
+from firtrestle.relay_messages import RelayResult, RelayTerms
+from firtrestle.service_gathers import ServiceGather
+from firtrestle.uplinks import UplinkState
+
+
+class RelayingGather(ServiceGather):
+    """Run a request from here, and let a peer run the services that aren't reached from here."""
+
+    async def collect(self) -> None:
+        """Get the services' replies, from here or by way of a peer that reaches the instances."""
+        uplink, relays = self._tools.uplink, self._tools.relays
+        may_wait = uplink.state is not UplinkState.DOWN and not relays.has_peers()
+        if uplink.admits(self._route.repeatable) or may_wait:
+            await super().collect()
+            if not uplink.is_lost and not any(map(self._is_left_to_peers, self._services)):
+                return
+        await self._relay_missing()
+
+    async def _relay_missing(self) -> None:
+        """Let a peer run the services without a reply, if enough of them may still be run."""
+        services = tuple(service for service in self._services if self._may_relay(service))
+        needed = self._least_replies() - len(self.reply_by_service)
+        if services and len(services) >= needed:
+            terms = RelayTerms(
+                services,
+                max(0, needed) / len(services),
+                {name: tried for name, tried in self._tried_by_service.items() if tried},
+                self._is_counted,
+            )
+            request = replace(self._request, deadline=self._stop_at())
+            self._merge_result(await self._tools.relays.run(request, terms))
+        for service in self._services:
+            if service not in self.reply_by_service:
+                reasons = self.attempt_summary.reason_by_service
+                reasons.setdefault(service, SubOutcome.UNREACHABLE)
+
+    def _merge_result(self, result: RelayResult) -> None:
+        summary, theirs = self.attempt_summary, result.summary
+        summary.relayed_to = result.peer_id
+        summary.sent += theirs.sent
+        summary.hedges += theirs.hedges
+        summary.not_run_count += theirs.not_run_count
+        summary.last_failure = theirs.last_failure or summary.last_failure
+        summary.reason_by_service |= theirs.reason_by_service
+        for service, reply in result.reply_by_service.items():
+            self.reply_by_service[service] = reply
+            summary.reason_by_service.pop(service, None)
+
+    def _is_left_to_peers(self, service: str) -> bool:
+        """Return whether no instance of a service was reached from here, and a peer may reach one.
+
+        So it is while connections that are open work, and new ones don't.
+        """
+        return (
+            self.attempt_summary.reason_by_service.get(service) is SubOutcome.UNREACHABLE
+            and not self._tried_by_service.get(service)
+            and self._tools.relays.may_reach(service)
+        )
+
+    def _may_relay(self, service: str) -> bool:
+        """Return whether a peer may run a service; if that repeats an attempt, spend a repeat."""
+        if service in self.reply_by_service:
+            return False
+        if not self._tools.uplink.is_lost and self._is_counted:
+            return self._is_left_to_peers(service)
+        tried = self._tried_by_service.get(service, 0)
+        if not tried:
+            return True
+        if not self._route.repeatable or tried >= self._route.max_attempts:
+            return False
+        budgets = self._tools.budgets
+        return budgets.for_service(service).spend(budgets.slack)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -41,7 +41,7 @@
 from firtrestle.route_fronts import RouteFront, RouteState
 from firtrestle.route_sources import SourcePublisher, SourceTools
 from firtrestle.routes import RouteTable
-from firtrestle.service_gathers import ServiceTools
+from firtrestle.service_tools import ServiceTools
 from firtrestle.settings import Settings, load_settings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -4,42 +4,32 @@
 
 import itertools
 import math
-import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
 from firtrestle.answers import MIN_PART_BOUND, Answer, Parts, max_part_bytes, merge
 from firtrestle.attempts import Attempt, ShardState
-from firtrestle.backoffs import NO_PAUSE, Backoffs
-from firtrestle.clocks import Clock, Millis
-from firtrestle.crash_records import CrashRecords
+from firtrestle.backoffs import NO_PAUSE
+from firtrestle.clocks import Millis
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.gathers import Gather
-from firtrestle.hedgers import Hedger, Progress
+from firtrestle.hedgers import Progress
 from firtrestle.http_clients import MAX_REPLY_BYTES
-from firtrestle.instance_pools import InstanceCall, InstancePools
+from firtrestle.instance_pools import InstanceCall
 from firtrestle.instance_replies import InstanceReply
-from firtrestle.instances import Instance, Instances
-from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
-from firtrestle.rate_limits import RateLimits
-from firtrestle.relays import RelayResult, Relays, RelayTerms
-from firtrestle.repeat_budgets import RepeatBudgets
-from firtrestle.replica_choosers import ReplicaChooser
-from firtrestle.replica_subsets import ReplicaSubsets
-from firtrestle.replicas import Replica, Replicas
+from firtrestle.relay_messages import RelayTerms
+from firtrestle.replicas import Replica
 from firtrestle.routed_requests import AttemptSummary, RoutedRequest
-from firtrestle.slow_reports import SlowReports
+from firtrestle.service_tools import ServiceTools
 from firtrestle.snapshots import ReplicaId
-from firtrestle.uplinks import Uplink, UplinkState
+from firtrestle.uplinks import UplinkState
 
 # Share of the latency target. An attempt that is older when the gather ends counts as overdue: its
 # reply would be of no use to the answer.
 MIN_OVERDUE_SHARE = 0.5
-MIN_SUBSET_SUCCESS_SHARE = 0.7  # below it, a replica is replaced in the subset
 MAX_UNREACHED_PER_SHARD = 6  # unreachable instances before a shard is given up
 DEFAULT_HEDGE_DELAY_SHARE = 0.3  # share of the latency target, until latencies are known
 MIN_HEDGE_DELAY_SHARE = 0.15  # share of the latency target; shorter waits are noise
@@ -51,44 +41,6 @@
 MIN_CLOSED_SHARDS_SHARE = 0.7  # below it, late replies point to a slow daemon, not slow replicas
 
 
-@dataclass(slots=True)
-class ServiceTools:
-    """Group the components that all service gathers of a daemon share."""
-
-    clock: Clock
-    rng: random.Random
-    replicas: Replicas
-    chooser: ReplicaChooser
-    hedger: Hedger
-    instances: Instances
-    pools: InstancePools
-    budgets: RepeatBudgets
-    subsets: ReplicaSubsets
-    crashes: CrashRecords
-    backoffs: Backoffs
-    rate_limits: RateLimits
-    slow_reports: SlowReports
-    loop: LoopMonitor
-    uplink: Uplink
-    relays: Relays
-    data_centre: str
-    reply_memory_bytes: int
-    _last_serving_by_service: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
-
-    def serving(self, service: str) -> tuple[Instance, ...]:
-        """Return the instances of a service that may get new requests.
-
-        Update `is_remote` on their replica records whenever the list has changed.
-        """
-        serving = self.instances.serving(service)
-        if serving and self._last_serving_by_service.get(service) is not serving:
-            self._last_serving_by_service[service] = serving
-            for instance in serving:
-                record = self.replicas.get(instance.replica_id)
-                record.is_remote = instance.data_centre != self.data_centre
-        return serving
-
-
 class ServiceGather(Gather):
     """Run one request over its services, each of which is one shard of the gather."""
 
@@ -115,7 +67,6 @@
         memory_share = max(MIN_PART_BOUND, tools.reply_memory_bytes // len(services))
         bound = min(max_reply_bytes, max_part_bytes(self._route.merge))
         self._max_reply_bytes = min(memory_share, bound)
-        self._is_relay = relay_terms is not None
         terms = relay_terms or RelayTerms(services)
         self._is_counted = terms.is_counted
         self._tried_before = terms.tried_by_service
@@ -130,19 +81,7 @@
         return self._failure_answer() or self._refusal()
 
     async def collect(self) -> None:
-        """Get the services' replies, from here or by way of a peer that reaches the instances."""
-        if self._is_relay:
-            await self._collect_here()
-            return
-        uplink, relays = self._tools.uplink, self._tools.relays
-        may_wait = uplink.state is not UplinkState.DOWN and not relays.has_peers()
-        if uplink.admits(self._route.repeatable) or may_wait:
-            await self._collect_here()
-            if not uplink.is_lost and not any(map(self._is_left_to_peers, self._services)):
-                return
-        await self._relay_missing()
-
-    async def _collect_here(self) -> None:
+        """Get the services' replies."""
         self._count()
         await self._gather(range(len(self._services)))
         self._tools.hedger.learn(self._route.name, self._latencies)
@@ -158,63 +97,6 @@
             for service in self._services:
                 self._tools.budgets.for_service(service).earn()
 
-    async def _relay_missing(self) -> None:
-        """Let a peer run the services without a reply, if enough of them may still be run."""
-        services = tuple(service for service in self._services if self._may_relay(service))
-        replies = len(self._parts.reply_by_service)
-        needed = max(1, math.ceil(len(self._services) * self._route.least_coverage - ROUNDING))
-        if services and replies + len(services) >= needed:
-            terms = RelayTerms(
-                services,
-                max(0.0, (needed - replies) / len(services)),
-                {name: tried for name, tried in self._tried_by_service.items() if tried},
-                self._is_counted,
-            )
-            request = replace(self._request, deadline=self._stop_at())
-            self._merge_relayed(await self._tools.relays.run(request, terms))
-        for service in self._services:
-            if service not in self._parts.reply_by_service:
-                reasons = self.attempt_summary.reason_by_service
-                reasons.setdefault(service, SubOutcome.UNREACHABLE)
-
-    def _merge_relayed(self, result: RelayResult) -> None:
-        summary, theirs = self.attempt_summary, result.summary
-        summary.relayed_to = result.peer_id
-        summary.sent += theirs.sent
-        summary.hedges += theirs.hedges
-        summary.not_run_count += theirs.not_run_count
-        summary.last_failure = theirs.last_failure or summary.last_failure
-        summary.reason_by_service |= theirs.reason_by_service
-        for service, reply in result.reply_by_service.items():
-            self._parts.reply_by_service[service] = reply
-            summary.reason_by_service.pop(service, None)
-
-    def _is_left_to_peers(self, service: str) -> bool:
-        """Return whether no instance of a service was reached from here, and a peer may reach one.
-
-        So it is while connections that are open work, and new ones don't.
-        """
-        return (
-            not self._is_relay
-            and self.attempt_summary.reason_by_service.get(service) is SubOutcome.UNREACHABLE
-            and not self._tried_by_service.get(service)
-            and self._tools.relays.may_reach(service)
-        )
-
-    def _may_relay(self, service: str) -> bool:
-        """Return whether a peer may run a service; if that repeats an attempt, spend a repeat."""
-        if service in self._parts.reply_by_service:
-            return False
-        if not self._tools.uplink.is_lost and self._is_counted:
-            return self._is_left_to_peers(service)
-        tried = self._tried_by_service.get(service, 0)
-        if not tried:
-            return True
-        if not self._route.repeatable or tried >= self._route.max_attempts:
-            return False
-        budgets = self._tools.budgets
-        return budgets.for_service(service).spend(budgets.slack)
-
     @property
     def reply_by_service(self) -> dict[str, InstanceReply]:
         """Return the replies collected so far."""
@@ -256,31 +138,12 @@
     def _retry_after(self) -> Millis | None:
         """Return when enough services can be asked again, None if pauses don't decide that."""
         pauses = sorted(self._pause_by_service.values())
-        least = math.ceil(len(self._services) * self._route.least_coverage - ROUNDING)
-        needed = max(1, least) - (len(self._services) - len(pauses))
+        needed = self._least_replies() - (len(self._services) - len(pauses))
         if needed <= 0:
             return None
         spread = self._tools.rng.uniform(1.0, MAX_RETURN_SPREAD)
         return Millis(pauses[needed - 1] * spread)
 
-    def _pause_of(self, service: str) -> Millis:
-        """Return how long all instances of a service want no requests, 0 if one takes some."""
-        if not self._some_hold_back:
-            return NO_PAUSE
-        serving = self._tools.serving(service)
-        return min((self._wait_for(instance.replica_id) for instance in serving), default=NO_PAUSE)
-
-    @property
-    def _some_hold_back(self) -> bool:
-        """Return whether any instance may want no request from this daemon now."""
-        return not (self._tools.backoffs.is_empty and self._tools.rate_limits.is_empty)
-
-    def _wait_for(self, replica_id: ReplicaId) -> Millis:
-        """Return how long an instance wants no request from this daemon, 0 if it takes one."""
-        if not self._some_hold_back:
-            return NO_PAUSE
-        return max(self._tools.backoffs.left(replica_id), self._tools.rate_limits.wait(replica_id))
-
     def _send_first(self) -> None:
         """Send to each shard, unless those without a usable instance are too many for an answer.
 
@@ -288,33 +151,15 @@
         """
         for shard in list(self._open_by_shard):
             service = self._services[shard]
-            if not self._tools.serving(service) or self._pause_of(service):
+            if not self._tools.availability.is_usable(service):
                 self._give_up_shard(shard, SubOutcome.NO_REPLICA)
         if not self._should_stop():
             super()._send_first()
 
     def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
         service = self._services[shard]
-        serving = self._tools.serving(service)
-        chosen = self._tools.subsets.choose(
-            serving, self._request.table.connection_limit(service), self._is_healthy
-        )
-        if not self._tools.rate_limits.is_empty and all(
-            self._wait_for(instance.replica_id) for instance in chosen
-        ):
-            chosen = list(serving)
-        return [instance.replica_id for instance in chosen]
-
-    def _is_healthy(self, instance: Instance) -> bool:
-        """Return whether a replica is healthy enough to stay in this daemon's subset."""
-        now = self._tools.clock.now()
-        record = self._tools.replicas.get(instance.replica_id)
-        return (
-            not record.is_ejected(now)
-            and not record.is_reported_slow(now)
-            and record.expected_success(now) >= MIN_SUBSET_SUCCESS_SHARE
-            and not self._tools.backoffs.left(instance.replica_id)
-        )
+        limit = self._request.table.connection_limit(service)
+        return self._tools.availability.replica_ids(service, limit)
 
     def _next_attempt_number(self) -> int:
         return next(self._numbers)
@@ -329,15 +174,13 @@
             max_reply_bytes=self._max_reply_bytes,
         )
         self._call_by_attempt[attempt.number] = call
-        instance = self._tools.instances.get(attempt.replica.id)
-        if instance is None:
+        limit = self._request.table.connection_limit(self._services[attempt.shard])
+        taken = self._tools.availability.take(attempt.replica.id, limit)
+        if taken is None:
             call.finish(InstanceReply(SubOutcome.UNREACHABLE, reason="the instance is gone"))
             return call
-        self._tools.rate_limits.spend(instance.replica_id)
-        replicas = len(self._tools.instances.serving(instance.service))
-        limit = self._request.table.connection_limit(instance.service)
-        plan = self._tools.subsets.plan(limit, replicas)
-        return self._tools.pools.start(instance, call, plan.connections)
+        instance, connections = taken
+        return self._tools.pools.start(instance, call, connections)
 
     def _checked_outcome(self, attempt: Attempt, reply: InstanceReply) -> SubOutcome:
         if not reply.may_have_run:
@@ -374,7 +217,7 @@
             self._log_ejection(loser, waited)
 
     def _has_capacity(self, replica: Replica) -> bool:
-        return replica.has_capacity() and not self._wait_for(replica.id)
+        return self._tools.availability.has_capacity(replica)
 
     def _record_overdue(self, state: ShardState) -> None:
         """Record as overdue a shard's attempts that are still open, and old enough, at the end.
@@ -471,7 +314,7 @@
 
     def _record_missing(self, shard: int, reason: SubOutcome) -> None:
         service = self._services[shard]
-        pause = self._pause_of(service) if reason in UNSENT_REASONS else NO_PAUSE
+        pause = self._tools.availability.pause(service) if reason in UNSENT_REASONS else NO_PAUSE
         if pause:
             self._pause_by_service[service] = pause
             reason = SubOutcome.SHED
@@ -485,6 +328,15 @@
         missing = sum(not self._is_left_to_peers(service) for service in reasons)
         return not self._covers_enough(len(self._services) - missing)
 
+    def _is_left_to_peers(self, service: str) -> bool:
+        """Return whether a service without a reply may still get one by way of a peer."""
+        return False
+
+    def _least_replies(self) -> int:
+        """Return how many services must reply for an answer."""
+        least = math.ceil(len(self._services) * self._route.least_coverage - ROUNDING)
+        return max(1, least)
+
     def _has_least_coverage(self) -> bool:
         return self._covers_enough(len(self._parts.reply_by_service))
 
--- /dev/null
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -0,0 +1,60 @@
+"""Group the components that all service gathers of a daemon share."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from firtrestle.availabilities import Availability
+from firtrestle.backoffs import Backoffs
+from firtrestle.clocks import Clock
+from firtrestle.crash_records import CrashRecords
+from firtrestle.hedgers import Hedger
+from firtrestle.instance_pools import InstancePools
+from firtrestle.instances import Instances
+from firtrestle.loop_monitors import LoopMonitor
+from firtrestle.rate_limits import RateLimits
+from firtrestle.relays import Relays
+from firtrestle.repeat_budgets import RepeatBudgets
+from firtrestle.replica_choosers import ReplicaChooser
+from firtrestle.replica_subsets import ReplicaSubsets
+from firtrestle.replicas import Replicas
+from firtrestle.slow_reports import SlowReports
+from firtrestle.uplinks import Uplink
+
+
+@dataclass(slots=True)
+class ServiceTools:
+    """Group the components that all service gathers of a daemon share."""
+
+    clock: Clock
+    rng: random.Random
+    replicas: Replicas
+    chooser: ReplicaChooser
+    hedger: Hedger
+    instances: Instances
+    pools: InstancePools
+    budgets: RepeatBudgets
+    subsets: ReplicaSubsets
+    crashes: CrashRecords
+    backoffs: Backoffs
+    rate_limits: RateLimits
+    slow_reports: SlowReports
+    loop: LoopMonitor
+    uplink: Uplink
+    relays: Relays
+    data_centre: str
+    reply_memory_bytes: int
+    availability: Availability = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Join what the components know of single instances."""
+        self.availability = Availability(
+            self.clock,
+            self.data_centre,
+            self.instances,
+            self.replicas,
+            self.subsets,
+            self.backoffs,
+            self.rate_limits,
+        )
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -21,13 +21,14 @@
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
 from firtrestle.rate_limits import RateLimits
+from firtrestle.relaying_gathers import RelayingGather
 from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import Route, RouteTable, ServiceTerms, TopRecords, WeightedService
-from firtrestle.service_gathers import ServiceGather, ServiceTools
+from firtrestle.service_tools import ServiceTools
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.uplinks import Uplink
@@ -122,7 +123,7 @@
         message = CallerMessage(f"r{self.numbers}", "GET", target, "h", (), b"")
         request = RoutedRequest(message, route, self.table, now, Millis(now + time_left))
         chosen = services or route.pick_services(self.tools.rng)
-        gather = ServiceGather(self.tools, request, chosen)
+        gather = RelayingGather(self.tools, request, chosen)
         return await gather.run(), gather
 
 
--- a/packages/firtrestle/tests/test_load_patterns.py
+++ b/packages/firtrestle/tests/test_load_patterns.py
@@ -209,10 +209,10 @@
     """All replicas but one are at their limit; the budget is kept for shards that can use it."""
 
     async def body(harness):
-        for instance in harness.tools.serving("s0"):
+        for instance in harness.tools.availability.serving("s0"):
             harness.tools.replicas.get(instance.replica_id).in_flight_limit = 1.0
             harness.tools.replicas.get(instance.replica_id).in_flight = 1
-        first = harness.tools.serving("s0")[0]
+        first = harness.tools.availability.serving("s0")[0]
         harness.tools.replicas.get(first.replica_id).in_flight = 0
         budget = harness.tools.budgets.for_service("s0")
         before = budget.remaining(harness.tools.budgets.slack)
@@ -227,7 +227,9 @@
 
     async def body(harness):
         harness.tools.subsets.fleet = FleetSize(61, 61)
-        used = harness.tools.subsets.choose(harness.tools.serving("s0"), 31, lambda instance: True)
+        used = harness.tools.subsets.choose(
+            harness.tools.availability.serving("s0"), 31, lambda instance: True
+        )
         assert len(used) == 2
         shedding.extend(instance.id for instance in used)
         answered = 0
@@ -301,7 +303,7 @@
 
 def limit_rates(harness, service, rate):
     """Let all instances of a service name a limit to the daemon."""
-    for instance in harness.tools.serving(service):
+    for instance in harness.tools.availability.serving(service):
         harness.tools.rate_limits.record(instance, "r", rate)
 
 
