Ask another peer if the first one reaches no instance either

Nothing had been sent, so another peer may be asked: data centres in turn, three peers at most. test_another_peer_is_asked_if_the_first_reaches_no_instance_either failed before (refused).

--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -16,6 +16,7 @@
 
 # Part of the time left that a peer doesn't get, so that its answer arrives before the deadline.
 HOP_RESERVE = Millis(5)
+UNREACHED_REASONS = frozenset({SubOutcome.UNREACHABLE, SubOutcome.NO_REPLICA})
 OUTCOMES = frozenset(str(outcome) for outcome in SubOutcome)
 
 
@@ -41,6 +42,12 @@
     reply_by_service: dict[str, InstanceReply] = field(default_factory=dict)
     summary: AttemptSummary = field(default_factory=AttemptSummary)
 
+    @property
+    def is_unreached(self) -> bool:
+        """Return whether the peer reached no instance either, so that another may be asked."""
+        reasons = self.summary.reason_by_service.values()
+        return not self.summary.may_have_run and UNREACHED_REASONS.issuperset(reasons)
+
 
 def encode_relay(request: RoutedRequest, terms: RelayTerms, age: Millis, left: Millis) -> Relay:
     """Return the message that asks a peer to run a request; `age` counts from its arrival."""
--- a/packages/firtrestle/firtrestle/relays.py
+++ b/packages/firtrestle/firtrestle/relays.py
@@ -4,7 +4,8 @@
 
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 from loguru import logger
@@ -12,10 +13,10 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.members import Member
 from firtrestle.messages import Relay, Relayed
-from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import PeerFailure
 from firtrestle.relay_messages import (
     HOP_RESERVE,
+    UNREACHED_REASONS,
     RelayResult,
     RelayTerms,
     decode_result,
@@ -25,7 +26,7 @@
 from firtrestle.routed_requests import RoutedRequest
 
 PEERS_IN_USE = 4  # per daemon, so that streams stay few and all daemons together use all peers
-MAX_PEERS_ASKED = 3  # per request; the first that doesn't refuse runs it
+MAX_PEERS_ASKED = 3  # per request; the first that reaches an instance runs it
 SET_ASIDE_TIME = Millis(500)  # for a peer that refused or was not reached
 UNREACHED_TIME = Millis(1_000)  # in which a service that a peer didn't reach either isn't relayed
 MIN_TIME_LEFT = Millis(10)  # with less, a request is not relayed
@@ -37,8 +38,8 @@
 class Relays:
     """Ask peers that reach the instances to run requests, over one hop.
 
-    A request that may have reached a peer isn't sent to another one, so that the promises on
-    attempts and on what ran hold over both daemons.
+    A request that a peer may have sent to an instance isn't sent to another peer, so that the
+    promises on attempts and on what ran hold over both daemons.
     """
 
     def __init__(
@@ -71,7 +72,8 @@
 
     async def run(self, request: RoutedRequest, terms: RelayTerms) -> RelayResult:
         """Let a peer run a request for some of its services."""
-        for peer in self._peers()[:MAX_PEERS_ASKED]:
+        unreached: RelayResult | None = None
+        for peer in self._peers_in_turn():
             left = Millis(request.deadline - self._clock.now() - HOP_RESERVE)
             if left < MIN_TIME_LEFT:
                 break
@@ -83,12 +85,28 @@
             self.relayed += 1
             result = decode_result(answer, terms)
             result.peer_id = peer.id
-            self._record_unreached(result)
             self._log(request, terms, result, answer)
-            return result
+            if not result.is_unreached:
+                self._record_unreached(result)
+                return result
+            unreached = result
+            terms = replace(terms, is_counted=True)
+        if unreached is not None:
+            self._record_unreached(unreached)
+            return unreached
         self.refused += 1
         return RelayResult()
 
+    def _peers_in_turn(self) -> Iterator[Member]:
+        """Yield the peers to ask, alternating between data centres, which may be cut off whole."""
+        waiting = self._peers()
+        asked: Counter[str] = Counter()
+        for _ in range(min(MAX_PEERS_ASKED, len(waiting))):
+            peer = min(waiting, key=lambda member: asked[member.data_centre])
+            waiting.remove(peer)
+            asked[peer.data_centre] += 1
+            yield peer
+
     def _peers(self) -> list[Member]:
         """Return the peers in use, the one with the fewest running requests first."""
         by_id = {peer.id: peer for peer in self._list_peers() if self._is_usable(peer.id)}
@@ -120,7 +138,7 @@
     def _record_unreached(self, result: RelayResult) -> None:
         until = Millis(self._clock.now() + UNREACHED_TIME)
         for service, reason in result.summary.reason_by_service.items():
-            if reason in (SubOutcome.UNREACHABLE, SubOutcome.NO_REPLICA):
+            if reason in UNREACHED_REASONS:
                 self._unreached_until_by_service[service] = until
 
     def _log(
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -397,6 +397,19 @@
     run_with_harness(lambda instance, nth: (5, good(instance)), body, services=4)
 
 
+def test_another_peer_is_asked_if_the_first_reaches_no_instance_either():
+    async def body(harness):
+        cut, peer = cut_daemon(harness, peers=("p1", "p2", "p3"))
+        unreached = Relayed(reasons={"s0": "unreachable"}, sent=3)
+        peer.interfere = {"p1": unreached, "p2": unreached}
+        for _ in range(10):
+            answer, _ = await cut.ask(plain_route())
+            assert isinstance(answer, Answer)
+        assert "p1" in peer.asked
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
 def test_a_service_that_no_daemon_reaches_is_seldom_relayed():
     async def body(harness):
         cut, peer = cut_daemon(harness, state=UplinkState.UP)
