Reset a connection that is closed while its reply is awaited

Cause: an abandoned request was closed in order, so that what the link held back was delivered after the cut, beside the same request run by a peer. A reset drops it; a searcher that already runs the request sees the connection end as before. test_a_request_abandoned_on_a_cut_link_is_not_delivered_after_the_cut failed before (the request arrived).

--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -5,7 +5,10 @@
 import itertools
 import json
 import select
+import socket
+import struct
 from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
@@ -27,6 +30,7 @@
 MAX_HEAD_BYTES = 65_536
 MAX_REPLY_BYTES = 4_000_000
 MAX_INFORMATIONAL_RESPONSES = 16  # before a reply
+RESET_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST instead of FIN
 BODILESS_STATUSES = frozenset({204, 304})  # replies with these statuses have no body
 KEEP_ALIVE_MARGIN = Millis(500)  # for a request in transit when the server's timeout ends
 DEFAULT_KEEP_ALIVE = Millis(60_000)  # if the server announces no timeout
@@ -120,6 +124,7 @@
         self._memory = memory
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.usable = True
+        self._awaits_reply = False
 
     @classmethod
     async def open(
@@ -179,7 +184,7 @@
             if body:
                 data += self._http.send(h11.Data(data=body))
             data += self._http.send(h11.EndOfMessage())
-            sent = True
+            sent = self._awaits_reply = True
             if len(data) <= MAX_SEND_BEFORE_READ_BYTES:
                 await self._stream.send_all(data)
                 reply = await self._read_reply(max_reply_bytes)
@@ -187,6 +192,7 @@
             else:
                 reply, is_sent = await self._send_while_reading(data, max_reply_bytes)
             has_framing = isinstance(reply, HttpReply) and reply.is_framed()
+            self._awaits_reply = not (isinstance(reply, HttpReply) and is_sent)
             is_reusable = has_framing and is_sent and self._start_next_cycle()
             outcome = reply
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as errors:
@@ -224,8 +230,15 @@
         return not poll.poll(0)
 
     async def close(self) -> None:
-        """Close the connection at once, without a graceful shutdown."""
+        """Close the connection at once, without a graceful shutdown.
+
+        It is reset if a reply is awaited: on a link that is cut, the request would otherwise be
+        delivered, and run, when the link is back.
+        """
         self.usable = False
+        if self._awaits_reply and isinstance(self._stream, trio.SocketStream):
+            with suppress(OSError):  # already closed
+                self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
         await trio.aclose_forcefully(self._stream)
 
     async def _read_reply(self, max_bytes: int) -> HttpReply | HttpFailure:
@@ -286,15 +299,15 @@
         return await trio.open_tcp_stream(
             host, port, happy_eyeballs_delay=None, local_address=source or None
         )
-    socket = trio.socket.socket()
+    connection = trio.socket.socket()
     try:
         if source:
-            await socket.bind((source, 0))
-        await socket.connect((host, port))
+            await connection.bind((source, 0))
+        await connection.connect((host, port))
     except BaseException:
-        socket.close()
+        connection.close()
         raise
-    return trio.SocketStream(socket)
+    return trio.SocketStream(connection)
 
 
 async def fetch(
