Wait 500 ms for the first reply over links on trial

An instance has accepted a connection by then, so silence weighs less than on lost links; with 300 ms, a pause of the instance that was asked ended the trial.

--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -28,6 +28,7 @@
 MAX_PROBE_INTERVAL = Millis(1_000)
 PROBE_BACKOFF_FACTOR = 1.5
 PROBE_JITTER = (0.75, 1.25)  # spreads the return of many daemons
+MAX_TRIAL_SILENCE = Millis(500)  # longer, as instances accept connections
 TRIAL_INTERVAL = Millis(500)  # between requests sent over a link that may be back
 RETURN_TIME = Millis(1_000)  # over which the share of requests sent over a restored link grows
 
@@ -239,8 +240,13 @@
         if uplink.state is UplinkState.UP and self._peer_lost_links:
             await self._probe_for_peers(now)
         if uplink.state is not UplinkState.DOWN:
-            since = self._trial_since if uplink.state is UplinkState.TRIAL else Millis(0)
-            uplink.check(self._list_silent(since, MAX_SILENCE))
+            is_trial = uplink.state is UplinkState.TRIAL
+            silent = (
+                self._list_silent(self._trial_since, MAX_TRIAL_SILENCE)
+                if is_trial
+                else self._list_silent(Millis(0), MAX_SILENCE)
+            )
+            uplink.check(silent)
         if uplink.state is UplinkState.SUSPECT:
             uplink.record_probes(await self._probe(PROBES_AT_ONCE))
         elif uplink.state is UplinkState.DOWN and now >= self._next_probe_at:
