Try links that may be back beside the relay, and don't take overload for lost links

Now such silence must last for 2 s, and a trial is one service of a request, sent from here as well for the price of a repeat while a peer runs the request; the attempt counts towards the route's maximum over both daemons. test_links_on_trial_are_tried_beside_the_relay_and_the_caller_does_not_wait.

--- a/packages/firtrestle-client/firtrestle_client/explanations.py
+++ b/packages/firtrestle-client/firtrestle_client/explanations.py
@@ -17,6 +17,7 @@
         "instance lifts its limit",
         "instance limits its rate",
         "instance removed",
+        "links to the instances",
         "registration lapsed, kept",
         "registry read failed",
         "registry watch given up after a check",
--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -4,7 +4,10 @@
 
 from dataclasses import replace
 
+from firtrestle.instance_pools import InstanceCall
+from firtrestle.instance_replies import InstanceReply
 from firtrestle.outcomes import SubOutcome
+from firtrestle.peers import Cancellable
 from firtrestle.relay_messages import RelayResult, RelayTerms
 from firtrestle.service_gathers import ServiceGather
 from firtrestle.uplinks import UplinkState
@@ -13,15 +16,49 @@
 class RelayingGather(ServiceGather):
     """Run a request from here, and let a peer run the services that aren't reached from here."""
 
+    _paid_service = ""  # whose repeat has been paid for
+
     async def collect(self) -> None:
         """Get the services' replies, from here or by way of a peer that reaches the instances."""
         uplink, relays = self._tools.uplink, self._tools.relays
         may_wait = uplink.state is not UplinkState.DOWN and not relays.has_peers()
-        if uplink.admits(self._route.repeatable) or may_wait:
+        if uplink.admits() or may_wait:
             await super().collect()
             if not uplink.is_lost and not any(map(self._is_left_to_peers, self._services)):
                 return
-        await self._relay_missing()
+        may_be_sent_twice = self._route.repeatable and self._route.max_attempts > 1
+        trial = self._send_trial() if may_be_sent_twice and uplink.wants_trial() else None
+        try:
+            await self._relay_missing()
+        finally:
+            if trial is not None:
+                trial.cancel()
+
+    def _send_trial(self) -> Cancellable | None:
+        """Send the request to one service from here as well, to learn whether the links are back.
+
+        It costs a repeat. Its reply is not awaited, so that the caller doesn't depend on it.
+        """
+        service = self._tools.rng.choice(self._services)
+        if not self._tools.availability.is_usable(service) or not self._spend_for(service):
+            return None
+        limit = self._request.table.connection_limit(service)
+        ids = self._tools.availability.replica_ids(service, limit)
+        taken = self._tools.availability.take(self._tools.rng.choice(ids), limit)
+        if taken is None:
+            return None
+        instance, connections = taken
+        call = InstanceCall(
+            self._request.message,
+            self._request.deadline,
+            _ignore_reply,
+            fresh=False,
+            max_reply_bytes=self._max_reply_bytes,
+        )
+        self.attempt_summary.sent += 1
+        self._tried_by_service[service] = 1
+        self._paid_service = service
+        return self._tools.pools.start(instance, call, connections)
 
     async def _relay_missing(self) -> None:
         """Let a peer run the services without a reply, if enough of them may still be run."""
@@ -75,5 +112,12 @@
             return True
         if not self._route.repeatable or tried >= self._route.max_attempts:
             return False
+        return service == self._paid_service or self._spend_for(service)
+
+    def _spend_for(self, service: str) -> bool:
         budgets = self._tools.budgets
         return budgets.for_service(service).spend(budgets.slack)
+
+
+def _ignore_reply(reply: InstanceReply) -> None:
+    return
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -17,7 +17,8 @@
 CHECK_INTERVAL = Millis(100)
 MAX_CHECK_GAP = Millis(300)  # beyond it, this process was paused and may have unread replies
 MAX_SILENCE = Millis(300)  # a healthy instance's pause is shorter
-MAX_SILENCE_IF_CONNECTABLE = Millis(1_000)  # while instances accept connections
+# While instances accept connections. Overloaded ones may all be silent for shorter times.
+MAX_SILENCE_IF_CONNECTABLE = Millis(2_000)
 # Fewer silent instances, or those of one service, may be at fault themselves.
 MIN_SILENT_INSTANCES = 4
 MIN_SILENT_SERVICES = 2
@@ -28,8 +29,10 @@
 MAX_PROBE_INTERVAL = Millis(1_000)
 PROBE_BACKOFF_FACTOR = 1.5
 PROBE_JITTER = (0.75, 1.25)  # spreads the return of many daemons
-MAX_TRIAL_SILENCE = Millis(500)  # longer, as instances accept connections
-TRIAL_INTERVAL = Millis(500)  # between requests sent over a link that may be back
+MAX_TRIAL_SILENCE = Millis(1_000)
+TRIAL_INTERVAL = Millis(300)  # between requests that try links that may be back
+# From when whole requests are tried, if no request came of which a part could be sent twice.
+MAX_TRIAL_TIME = Millis(3_000)
 RETURN_TIME = Millis(1_000)  # over which the share of requests sent over a restored link grows
 
 
@@ -81,22 +84,26 @@
         """Return whether any instance has replied since a time."""
         return self.heard_at > at
 
-    def admits(self, repeatable: bool) -> bool:
+    def admits(self) -> bool:
         """Return whether a new request is to be sent to instances from here.
 
-        After a loss, single requests that may be repeated try the link, and the share of admitted
-        requests grows over the first second of a restored link.
+        The share of admitted requests grows over the first second of restored links.
         """
         if self.state is UplinkState.DOWN:
             return False
         if self.state is UplinkState.TRIAL:
-            now = self._clock.now()
-            if not repeatable or now < self._next_trial_at:
-                return False
-            self._next_trial_at = Millis(now + TRIAL_INTERVAL)
-            return True
+            is_overdue = self._clock.now() - self._changed_at > MAX_TRIAL_TIME
+            return is_overdue and self.wants_trial()
         return self._rng.random() < self._return_share()
 
+    def wants_trial(self) -> bool:
+        """Return whether a request is to try the links now, one in each TRIAL_INTERVAL."""
+        now = self._clock.now()
+        if self.state is not UplinkState.TRIAL or now < self._next_trial_at:
+            return False
+        self._next_trial_at = Millis(now + TRIAL_INTERVAL)
+        return True
+
     def record_heard(self) -> None:
         """Record that an instance replied, which proves that the links work."""
         self.heard_at = self._clock.now()
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -196,3 +196,33 @@
         call.cancel()
         await fixture.wait_until(lambda: len(fixture.observed) == 1)
         assert fixture.replies == []
+
+
+async def test_calls_on_lost_links_end_at_once_but_one_that_must_not_be_repeated_goes_on():
+    async with pool_fixture() as fixture:
+        fixture.start("/done")
+        await fixture.wait_until(lambda: len(fixture.replies) == 1)
+        fixture.gate = trio.Event()
+        fixture.start("/unsafe", connections=3, fresh=True)
+        fixture.start("/safe", connections=3)
+        await fixture.wait_until(lambda: len(fixture.served) == 3)
+        fixture.start("/waiting", connections=2)
+        await trio.sleep(0.02)
+        fixture.pools.abandon("links lost")
+        assert sorted((reply.outcome, reply.may_have_run) for reply in fixture.replies[1:]) == [
+            (SubOutcome.DIED, True),
+            (SubOutcome.UNREACHABLE, False),
+        ]
+        await fixture.wait_until(lambda: fixture.pools.open_connections == 1)
+        fixture.gate.set()
+        await fixture.wait_until(lambda: len(fixture.replies) == 4)
+        assert fixture.replies[3].body == b"/unsafe"
+
+
+async def test_silent_instances_are_those_with_a_call_unanswered_for_long():
+    async with pool_fixture() as fixture:
+        assert fixture.pools.silent(Millis(0), Millis(0)) == []
+        await fixture.cancel_unanswered()
+        assert fixture.pools.silent(Millis(0), Millis(0)) == [fixture.instance]
+        assert fixture.pools.silent(Millis(0), Millis(5_000)) == []
+        assert fixture.pools.silent(FAR_DEADLINE, Millis(0)) == []
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -423,3 +423,39 @@
         return 1, unreachable() if instance.service == "s0" else good(instance)
 
     run_with_harness(behave, body)
+
+
+def test_links_on_trial_are_tried_beside_the_relay_and_the_caller_does_not_wait():
+    """One service is asked from here as well; nothing replies to that."""
+
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.TRIAL)
+        pools = FakePools(harness.pools.nursery, never, cut.tools.uplink)
+        cut = RouteHarness(replace(cut.tools, pools=pools), pools, harness.table)
+        started_at = harness.tools.clock.now()
+        answer, gather = await cut.ask(scatter_route(3))
+        assert isinstance(answer, Answer)
+        assert harness.tools.clock.now() - started_at <= 5
+        assert len(pools.sent) == 1
+        assert sum(peer.relays[0].tried.values()) == 1
+        assert gather.attempt_summary.sent == 4
+        await cut.ask(plain_route())
+        await cut.ask(scatter_route(3, max_attempts=1))
+        assert len(pools.sent) == 1
+
+    def never(instance, nth):
+        return math.inf, good(instance)
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_reply_to_a_trial_brings_the_links_back():
+    async def body(harness):
+        cut, _ = cut_daemon(harness, state=UplinkState.TRIAL)
+        pools = FakePools(harness.pools.nursery, harness.pools.behave, cut.tools.uplink)
+        cut = RouteHarness(replace(cut.tools, pools=pools), pools, harness.table)
+        await cut.ask(scatter_route(3))
+        await sleep(Millis(10))
+        assert cut.tools.uplink.state is UplinkState.UP
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
