Keep when an instance was last heard apart from when a silence begins

A pause of the process set the time at which an instance was last heard, so that attempts open at the pause counted as silent while others were heard. Requests that no peer took are counted.

--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -68,6 +68,11 @@
     "Requests that a peer ran for this daemon, whole or in part, since the start",
     registry=REGISTRY,
 )
+NOT_RELAYED = Gauge(
+    "firtrestle_requests_not_relayed",
+    "Requests that no peer took, since the start",
+    registry=REGISTRY,
+)
 RELAYS_SERVED = Gauge(
     "firtrestle_relays_served",
     "Requests that were run for peers, since the start",
--- a/packages/firtrestle/firtrestle/relays.py
+++ b/packages/firtrestle/firtrestle/relays.py
@@ -51,7 +51,7 @@
         call_peer: CallPeer,
     ) -> None:
         self.relayed = 0
-        self.refused = 0
+        self.not_relayed = 0  # requests that no peer took
         self._own_id = own_id
         self._clock = clock
         self._rng = rng
@@ -94,7 +94,7 @@
         if unreached is not None:
             self._record_unreached(unreached)
             return unreached
-        self.refused += 1
+        self.not_relayed += 1
         return RelayResult()
 
     def _peers_in_turn(self) -> Iterator[Member]:
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -65,7 +65,7 @@
         self._clock = clock
         self._rng = rng
         self._on_change = on_change
-        self._changed_at = self.heard_at
+        self._changed_at = self._silent_since = self.heard_at
         self._service_by_failed_id: dict[str, str] = {}  # failed since an instance was heard
         self._failing_since = Millis(0)
         self._next_trial_at = Millis(0)
@@ -106,7 +106,7 @@
 
     def record_heard(self) -> None:
         """Record that an instance replied, which proves that the links work."""
-        self.heard_at = self._clock.now()
+        self.heard_at = self._silent_since = self._clock.now()
         self._service_by_failed_id.clear()
         if self.state is not UplinkState.UP:
             self._change(UplinkState.UP)
@@ -121,7 +121,7 @@
 
     def record_pause(self) -> None:
         """Start the silence anew after a pause of this process, during which nothing was read."""
-        self.heard_at = max(self.heard_at, self._clock.now())
+        self._silent_since = self._clock.now()
         self._service_by_failed_id.clear()
 
     def check(self, silent: Iterable[Instance]) -> None:
@@ -132,7 +132,7 @@
         service_by_id = {instance.id: instance.service for instance in silent}
         if now - self._failing_since >= MAX_SILENCE:
             service_by_id |= self._service_by_failed_id
-        silence = Millis(now - self.heard_at)
+        silence = self.silence()
         if self.state is UplinkState.TRIAL:
             if service_by_id:
                 self._change(UplinkState.DOWN, silent=len(service_by_id))
@@ -154,14 +154,18 @@
 
         A reply that came while they were probed counts more.
         """
-        is_silent = self.lost_for() >= MAX_SILENCE
+        is_silent = self.silence() >= MAX_SILENCE
         if self.state in (UplinkState.UP, UplinkState.SUSPECT) and not connected and is_silent:
             self._change(UplinkState.DOWN)
         elif self.state is UplinkState.DOWN and connected:
             self._next_trial_at = self._clock.now()
             self._change(UplinkState.TRIAL)
 
-    def lost_for(self) -> Millis:
+    def silence(self) -> Millis:
+        """Return the time in which a reply could have been read and none came."""
+        return Millis(self._clock.now() - self._silent_since)
+
+    def unheard_for(self) -> Millis:
         """Return the time since the last reply of any instance."""
         return Millis(self._clock.now() - self.heard_at)
 
@@ -180,7 +184,7 @@
             after=str(state),
             silent_instances=silent,
             failed_instances=len(self._service_by_failed_id),
-            unheard_ms=round(now - self.heard_at),
+            unheard_ms=round(self.unheard_for()),
             held_ms=round(now - self._changed_at),
         ).log("WARNING" if is_loss else "INFO", "links to the instances")
         # A suspicion that was not confirmed must not start another gradual return.
@@ -241,7 +245,7 @@
 
     async def _check(self, now: Millis) -> None:
         uplink = self._uplink
-        if uplink.state is UplinkState.UP and now - uplink.heard_at < MAX_SILENCE:
+        if uplink.state is UplinkState.UP and uplink.silence() < MAX_SILENCE:
             self._peer_lost_links = False
             return
         if uplink.state is UplinkState.UP and self._peer_lost_links:
