--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -39,12 +39,15 @@
 
         It costs a repeat. Its reply is not awaited, so that the caller doesn't depend on it.
         """
+        availability = self._tools.availability
         service = self._tools.rng.choice(self._services)
-        if not self._tools.availability.is_usable(service) or not self._spend_for(service):
-            return None
         limit = self._request.table.connection_limit(service)
-        ids = self._tools.availability.replica_ids(service, limit)
-        taken = self._tools.availability.take(self._tools.rng.choice(ids), limit)
+        ids = [
+            id_ for id_ in availability.replica_ids(service, limit) if not availability.wait(id_)
+        ]
+        if not ids or not self._spend_for(service):
+            return None
+        taken = availability.take(self._tools.rng.choice(ids), limit)
         if taken is None:
             return None
         instance, connections = taken
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -23,7 +23,7 @@
 MIN_SILENT_INSTANCES = 4
 MIN_SILENT_SERVICES = 2
 PROBES_AT_ONCE = 4  # to confirm a loss
-MIN_REPORTED_PROBE_INTERVAL = Millis(1_000)  # between probes that losses of peers give reason for
+MIN_CONFIRM_INTERVAL = Millis(1_000)  # between such probes, while instances accept connections
 PROBE_TIMEOUT = Millis(150)
 MIN_PROBE_INTERVAL = Millis(250)
 MAX_PROBE_INTERVAL = Millis(1_000)
@@ -143,6 +143,8 @@
             and len(set(service_by_id.values())) >= MIN_SILENT_SERVICES
         )
         if not is_silent:
+            if self.state is UplinkState.SUSPECT:
+                self._change(UplinkState.UP)
             return
         if self.state is UplinkState.UP:
             self._change(UplinkState.SUSPECT, silent=len(service_by_id))
@@ -222,7 +224,7 @@
         self._next_probe_at = Millis(0)
         self._losses_probed = 0
         self._peer_lost_links = False
-        self._probed_for_peers_at = Millis(-math.inf)
+        self._confirmed_at = Millis(-math.inf)
         self._trial_since = Millis(0)
 
     async def run(self) -> None:
@@ -233,8 +235,8 @@
             now = self._clock.now()
             if now - checked_at > MAX_CHECK_GAP:
                 self._uplink.record_pause()
-            checked_at = now
             await self._check(now)
+            checked_at = self._clock.now()
 
     def record_loss_of_peer(self) -> None:
         """Probe instances soon unless one is heard: the cause of a peer's loss may be shared.
@@ -248,8 +250,6 @@
         if uplink.state is UplinkState.UP and uplink.silence() < MAX_SILENCE:
             self._peer_lost_links = False
             return
-        if uplink.state is UplinkState.UP and self._peer_lost_links:
-            await self._probe_for_peers(now)
         if uplink.state is not UplinkState.DOWN:
             is_trial = uplink.state is UplinkState.TRIAL
             silent = (
@@ -258,17 +258,20 @@
                 else self._list_silent(Millis(0), MAX_SILENCE)
             )
             uplink.check(silent)
-        if uplink.state is UplinkState.SUSPECT:
-            uplink.record_probes(await self._probe(PROBES_AT_ONCE))
-        elif uplink.state is UplinkState.DOWN and now >= self._next_probe_at:
+        is_in_doubt = uplink.state is UplinkState.UP and self._peer_lost_links
+        if uplink.state is UplinkState.SUSPECT or is_in_doubt:
+            await self._confirm(now)
+        if uplink.state is UplinkState.DOWN and now >= self._next_probe_at:
             await self._probe_for_return(now)
 
-    async def _probe_for_peers(self, now: Millis) -> None:
-        if now - self._probed_for_peers_at >= MIN_REPORTED_PROBE_INTERVAL:
-            self._probed_for_peers_at = now
-            self._peer_lost_links = False
-            if not await self._probe(PROBES_AT_ONCE):
-                self._uplink.record_probes(False)
+    async def _confirm(self, now: Millis) -> None:
+        """Probe some instances: none accepts a connection if the links are lost."""
+        if now - self._confirmed_at < MIN_CONFIRM_INTERVAL:
+            return
+        self._confirmed_at = now
+        self._peer_lost_links = False
+        if self._list_instances() and not await self._probe(PROBES_AT_ONCE):
+            self._uplink.record_probes(False)
 
     async def _probe_for_return(self, now: Millis) -> None:
         if self._losses_probed != self._uplink.losses:
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -95,6 +95,13 @@
     assert uplink.state is UplinkState.SUSPECT
 
 
+def test_a_suspicion_ends_if_no_request_is_silent_any_more(uplink, clock):
+    clock.at += MAX_SILENCE
+    uplink.check(instances(9))
+    uplink.check([])
+    assert uplink.state is UplinkState.UP
+
+
 def test_unread_replies_after_a_pause_of_the_process_are_no_silence(uplink, clock):
     clock.at += 10_000
     uplink.record_pause()
