--- a/packages/firtrestle/firtrestle/answers.py
+++ b/packages/firtrestle/firtrestle/answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatch
 
 from firtrestle.http_clients import MAX_REPLY_BYTES
@@ -54,20 +54,24 @@
 
 
 @singledispatch
-def condense(rule: MergeRule, reply_by_service: dict[str, InstanceReply]) -> dict[str, bytes]:
-    """Return the part of each reply's body that a merged answer may need."""
+def condense(
+    rule: MergeRule, reply_by_service: dict[str, InstanceReply]
+) -> dict[str, InstanceReply]:
+    """Return the replies with what a merged answer may need of them, and no more."""
     raise TypeError(f"no condensed form for rule {type(rule).__name__}")
 
 
 @condense.register
 def _condense_whole(
     rule: WholeReply, reply_by_service: dict[str, InstanceReply]
-) -> dict[str, bytes]:
-    return {service: reply.body for service, reply in reply_by_service.items()}
+) -> dict[str, InstanceReply]:
+    return reply_by_service
 
 
 @condense.register
-def _condense_top(rule: TopRecords, reply_by_service: dict[str, InstanceReply]) -> dict[str, bytes]:
+def _condense_top(
+    rule: TopRecords, reply_by_service: dict[str, InstanceReply]
+) -> dict[str, InstanceReply]:
     records = [
         (record, service)
         for service, reply in reply_by_service.items()
@@ -77,7 +81,10 @@
     kept: dict[str, list[bytes]] = {service: [] for service in reply_by_service}
     for record, service in records[: rule.count]:
         kept[service].append(record)
-    return {service: b"".join(rows) for service, rows in kept.items()}
+    return {
+        service: replace(reply, headers=(), body=b"".join(kept[service]))
+        for service, reply in reply_by_service.items()
+    }
 
 
 def _records(rule: TopRecords, body: bytes) -> list[bytes]:
--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -110,15 +110,12 @@
     rule: MergeRule, reply_by_service: dict[str, InstanceReply], summary: AttemptSummary
 ) -> Relayed:
     """Return the message that answers a relay, without bytes that no merged answer needs."""
-    body_by_service = condense(rule, reply_by_service)
+    condensed = condense(rule, reply_by_service)
     failure = summary.last_failure
     return Relayed(
-        replies=[
-            [service, *_encode_reply(reply, body_by_service[service])]
-            for service, reply in reply_by_service.items()
-        ],
+        replies=[[service, *_encode_reply(reply)] for service, reply in condensed.items()],
         reasons={name: str(reason) for name, reason in summary.reason_by_service.items()},
-        failure=_encode_reply(failure, failure.body) if failure is not None else [],
+        failure=_encode_reply(failure) if failure is not None else [],
         sent=summary.sent,
         hedges=summary.hedges,
         may_have_run=summary.may_have_run,
@@ -147,9 +144,9 @@
     return result
 
 
-def _encode_reply(reply: InstanceReply, body: bytes) -> list[Any]:
+def _encode_reply(reply: InstanceReply) -> list[Any]:
     headers = [list(header) for header in reply.headers]
-    return [reply.status, reply.stamp, headers, body]
+    return [reply.status, reply.stamp, headers, reply.body]
 
 
 def _decode_reply(row: list[Any], outcome: SubOutcome) -> InstanceReply:
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -104,7 +104,7 @@
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
 
 
-def test_only_records_that_the_answer_may_need_are_sent_back():
+def test_only_what_the_answer_may_need_is_sent_back():
     async def body(harness):
         cut, peer = cut_daemon(harness)
         results = []
@@ -118,10 +118,14 @@
         route = scatter_route(3)
         answer, _ = await cut.ask(replace(route, merge=replace(route.merge, count=4)))
         assert sum(len(row[4]) for row in results[0].replies) == 4 * 16
+        assert not any(row[3] for row in results[0].replies)
         assert len(answer.body) == 4 * 16
         assert len(answer.stamps) == 3
 
-    run_with_harness(lambda instance, nth: (5, good(instance, *"abcdefgh")), body)
+    def behave(instance, nth):
+        return 5, replace(good(instance, *"abcdefgh"), headers=(("x-any", "value"),))
+
+    run_with_harness(behave, body)
 
 
 def test_the_peer_runs_only_the_services_that_lack_a_reply():
