Keep what is suspected of a request when another one succeeds

Read in the diff: an instance's broken replies are suspected together, and the success of one of the requests cleared all. test_the_success_of_another_request_leaves_a_suspected_crash_as_it_is failed before.

--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from loguru import logger
@@ -125,12 +125,11 @@
     def record_success(self, fingerprint: str) -> None:
         """Clear a request that an instance answered."""
         self._suspicions = [
-            suspicion
+            replace(suspicion, broken_replies=_without(fingerprint, suspicion.broken_replies))
             for suspicion in self._suspicions
-            if all(broken.fingerprint != fingerprint for broken in suspicion.broken_replies)
         ]
         for replica_id, broken_replies in list(self._broken_by_replica.items()):
-            kept = [broken for broken in broken_replies if broken.fingerprint != fingerprint]
+            kept = _without(fingerprint, broken_replies)
             if kept:
                 self._broken_by_replica[replica_id] = kept
             else:
@@ -193,3 +192,7 @@
             isinstance(instance_id, str) for instance_id in value
         )
         return is_list and self._clock.wall() - stamp <= RECORD_RETENTION
+
+
+def _without(fingerprint: str, broken_replies: list[_BrokenReply]) -> list[_BrokenReply]:
+    return [broken for broken in broken_replies if broken.fingerprint != fingerprint]
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -156,3 +156,16 @@
     clock.at += MIN_PROOF_DELAY
     first.records.confirm_unreachable(clock.at)
     assert first.records.time_left("f") == QUARANTINE_DURATION
+
+
+def test_the_success_of_another_request_leaves_a_suspected_crash_as_it_is():
+    clock, first, _ = pair()
+    for name in ("i1", "i2", "i3"):
+        for fingerprint in ("poison", "innocent"):
+            first.records.record_broken_reply(fingerprint, replica(name))
+        first.records.record_unreachable(replica(name))
+    first.records.record_success("innocent")
+    clock.at += MIN_PROOF_DELAY
+    first.records.confirm_unreachable(clock.at)
+    assert first.records.time_left("poison") == QUARANTINE_DURATION
+    assert first.records.time_left("innocent") is None
