Report lost links to peers, not suspicions

Read in the diff: a suspicion, which a slow spell of all instances can cause, was published like a loss and made every idle peer probe four instances. Peers are told of losses alone; a daemon that suspects itself still refuses relays.

--- a/packages/firtrestle/firtrestle/relay_servers.py
+++ b/packages/firtrestle/firtrestle/relay_servers.py
@@ -14,6 +14,7 @@
 from firtrestle.routes import RouteTable
 from firtrestle.service_gathers import ServiceGather
 from firtrestle.service_tools import ServiceTools
+from firtrestle.uplinks import UplinkState
 
 MAX_RUNNING = 64  # requests of peers at the same time
 MAX_BUSY_SHARE = 0.8  # of the processor; beyond it, this daemon's own callers come first
@@ -87,7 +88,8 @@
         """Return why no request of a peer is run now, empty if they are."""
         if self._state.stopping:
             return "stopping"
-        if not self._tools.uplink.is_settled:
+        uplink = self._tools.uplink
+        if not uplink.is_settled or uplink.state is UplinkState.SUSPECT:
             return "no links to the instances"
         if self.running >= MAX_RUNNING or self._load.share() > MAX_BUSY_SHARE:
             return "overloaded"
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -77,8 +77,11 @@
 
     @property
     def is_settled(self) -> bool:
-        """Return whether the instances are reachable, and have been for some time."""
-        return self.state is UplinkState.UP and self._return_share() >= 1.0
+        """Return whether the instances are believed to be reachable, and have been for some time.
+
+        A mere suspicion doesn't count: it is not told to peers, who would all probe for it.
+        """
+        return not self.is_lost and self._return_share() >= 1.0
 
     def has_heard_since(self, at: Millis) -> bool:
         """Return whether any instance has replied since a time."""
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -302,8 +302,9 @@
         await sleep(Millis(10_000))
         assert await refusal() == "overloaded"
         peer.loop.busy_share = 0.0
-        harness.tools.uplink.state = UplinkState.DOWN
-        assert await refusal() == "no links to the instances"
+        for state in (UplinkState.SUSPECT, UplinkState.DOWN, UplinkState.TRIAL):
+            harness.tools.uplink.state = state
+            assert await refusal() == "no links to the instances"
 
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
 
--- a/packages/firtrestle/tests/test_uplink_reports.py
+++ b/packages/firtrestle/tests/test_uplink_reports.py
@@ -78,6 +78,8 @@
     first_stamp, value = published()
     assert value == [7, True]
     assert published() == (first_stamp, value)
+    daemon.uplink.state = UplinkState.SUSPECT
+    assert published() == (first_stamp, value)
     daemon.uplink.state = UplinkState.DOWN
     second_stamp, value = published()
     assert (value, second_stamp > first_stamp) == ([7, False], True)
