--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -19,10 +19,14 @@
     _paid_service = ""  # whose repeat has been paid for
 
     async def collect(self) -> None:
-        """Get the services' replies, from here or by way of a peer that reaches the instances."""
+        """Get the services' replies, from here or by way of a peer that reaches the instances.
+
+        Links that may be back or have just returned are spared, unless no peer takes the request.
+        """
         uplink, relays = self._tools.uplink, self._tools.relays
-        may_wait = uplink.state is not UplinkState.DOWN and not relays.has_peers()
-        if uplink.admits() or may_wait:
+        is_down = uplink.state is UplinkState.DOWN
+        runs_here = uplink.admits() or not (is_down or relays.has_peers())
+        if runs_here:
             await super().collect()
             if not uplink.is_lost and not any(map(self._is_left_to_peers, self._services)):
                 return
@@ -33,6 +37,10 @@
         finally:
             if trial is not None:
                 trial.cancel()
+        if not (runs_here or self.attempt_summary.relayed_to or is_down):
+            self._tried_before = dict(self._tried_by_service)
+            self.attempt_summary.reason_by_service.clear()
+            await super().collect()
 
     def _send_trial(self) -> Cancellable | None:
         """Send the request to one service from here as well, to learn whether the links are back.
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -464,3 +464,19 @@
         assert cut.tools.uplink.state is UplinkState.UP
 
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+@pytest.mark.parametrize("state", [UplinkState.TRIAL, UplinkState.UP])
+def test_a_request_that_no_peer_takes_is_run_here_while_the_links_may_be_back(state):
+    """The links are on trial, or have returned just now."""
+
+    async def body(harness):
+        cut, peer = cut_daemon(harness, peers=("p1", "p2"), state=state)
+        cut.tools.uplink.losses = 1
+        peer.state.stopping = True
+        for route in (plain_route(), scatter_route(3)):
+            answer, gather = await cut.ask(route)
+            assert isinstance(answer, Answer)
+            assert gather.attempt_summary.relayed_to == ""
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
