Take a reply as proof of the links only for requests sent after a failure, and let trials end

By the logs its connections were reset at 21:39.1, and replies that its busy loop read more than 50 ms later passed for proof that four instances had crashed: all requests, which are alike there, were quarantined by all daemons. Now a crash is confirmed only once a request sent after the failure was answered.

A trial now goes on until it is answered or the links are down, unless its caller leaves.

--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -19,9 +19,6 @@
 QUARANTINE_DURATION = Millis(60_000)  # lets the operator fix or withdraw the request meanwhile
 RECORD_RETENTION = Millis(600_000)  # since the stamp, which is its publisher's wall clock
 CRASH_CONFIRM_WINDOW = Millis(5_000)  # from a broken reply until its instance is found lost
-# From the failure to reach an instance until another one's reply proves that this daemon's own
-# links work; replies received before a cut may be read a little later.
-MIN_PROOF_DELAY = Millis(50)
 MAX_UNCONFIRMED_INSTANCES = 1_000  # instances with broken replies not yet confirmed as crashes
 
 
@@ -57,8 +54,8 @@
 
     A broken reply counts as a crash only if its instance is found unreachable, removed or restarted
     soon after, and not if this daemon has lost its own links: an unreachable instance has crashed
-    only if another one replies afterwards. A single complete reply clears the request's record,
-    here and at all peers.
+    only if a request sent afterwards is answered. A single complete reply clears the request's
+    record, here and at all peers.
     """
 
     def __init__(self, items: GossipMap, clock: Clock) -> None:
@@ -96,11 +93,14 @@
             suspicion = _Suspicion(replica_id, broken_replies, self._clock.now())
             self._suspicions.append(suspicion)
 
-    def confirm_unreachable(self, heard_at: Millis) -> None:
-        """Count suspected crashes of instances, given when any instance was last heard."""
+    def confirm_unreachable(self, proven_until: Millis) -> None:
+        """Count suspected crashes, given when the last request that was answered had been sent.
+
+        The time of the reply proves nothing: a busy daemon reads it long after links are lost.
+        """
         pending, self._suspicions = self._suspicions, []
         for suspicion in pending:
-            if heard_at >= suspicion.at + MIN_PROOF_DELAY:
+            if proven_until > suspicion.at:
                 self._record_crashes(suspicion.replica_id, suspicion.broken_replies, suspicion.at)
             else:
                 self._suspicions.append(suspicion)
--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -34,9 +34,10 @@
         trial = self._send_trial() if may_be_sent_twice and uplink.wants_trial() else None
         try:
             await self._relay_missing()
-        finally:
+        except BaseException:  # the caller has left
             if trial is not None:
                 trial.cancel()
+            raise
         if not (runs_here or self.attempt_summary.relayed_to or is_down):
             self._tried_before = dict(self._tried_by_service)
             self.attempt_summary.reason_by_service.clear()
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -231,7 +231,7 @@
             self._backoffs.expire()
             self._rate_limits.expire()
             self._slow_reports.expire()
-            self._crashes.confirm_unreachable(self._uplink.heard_at)
+            self._crashes.confirm_unreachable(self._uplink.proven_until)
             self._crashes.expire()
             self._pools.close_stale()
             self._uplink_reports.publish()
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -61,6 +61,7 @@
     ) -> None:
         self.state = UplinkState.UP
         self.heard_at = clock.now()  # the last reply of any instance
+        self.proven_until = Millis(0)  # when the last request that was answered had been sent
         self.losses = 0
         self._clock = clock
         self._rng = rng
@@ -107,8 +108,9 @@
         self._next_trial_at = Millis(now + TRIAL_INTERVAL)
         return True
 
-    def record_heard(self) -> None:
-        """Record that an instance replied, which proves that the links work."""
+    def record_heard(self, sent_at: Millis = Millis(0)) -> None:
+        """Record a reply to a request sent at a time, which proves that the links work."""
+        self.proven_until = max(self.proven_until, sent_at)
         self.heard_at = self._silent_since = self._clock.now()
         self._service_by_failed_id.clear()
         if self.state is not UplinkState.UP:
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -5,7 +5,6 @@
 from firtrestle.crash_records import (
     CRASH_CONFIRM_WINDOW,
     CRASH_PREFIX,
-    MIN_PROOF_DELAY,
     QUARANTINE_DURATION,
     RECORD_RETENTION,
     CrashRecords,
@@ -153,7 +152,7 @@
     for name in ("i1", "i2", "i3"):
         first.records.record_broken_reply("f", replica(name))
         first.records.record_unreachable(replica(name))
-    clock.at += MIN_PROOF_DELAY
+    clock.at += 1
     first.records.confirm_unreachable(clock.at)
     assert first.records.time_left("f") == QUARANTINE_DURATION
 
@@ -165,7 +164,7 @@
             first.records.record_broken_reply(fingerprint, replica(name))
         first.records.record_unreachable(replica(name))
     first.records.record_success("innocent")
-    clock.at += MIN_PROOF_DELAY
+    clock.at += 1
     first.records.confirm_unreachable(clock.at)
     assert first.records.time_left("poison") == QUARANTINE_DURATION
     assert first.records.time_left("innocent") is None
--- a/packages/firtrestle/tests/test_load_patterns.py
+++ b/packages/firtrestle/tests/test_load_patterns.py
@@ -260,7 +260,7 @@
             await sleep(Millis(50))
             await harness.ask(route, target="/p/innocent")
             await harness.ask(route, services=("s1",), target="/p/other")
-            harness.tools.crashes.confirm_unreachable(harness.tools.uplink.heard_at)
+            harness.tools.crashes.confirm_unreachable(harness.tools.uplink.proven_until)
         message = CallerMessage("r", "GET", "/p/poison", "h", (), b"")
         assert harness.tools.crashes.time_left(message_fingerprint(message)) is not None
         innocent = replace(message, target="/p/innocent")
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -198,3 +198,12 @@
     await sleep(Millis(200))
     assert (uplink.state is UplinkState.UP) == accepts
     nursery.cancel_scope.cancel()
+
+
+# Guards against a reply that is read late being taken for a proof that the links work now.
+def test_links_are_proven_until_the_last_answered_request_was_sent(uplink, clock):
+    sent_at = Millis(clock.at)
+    clock.at += 400
+    uplink.record_heard(sent_at)
+    uplink.record_heard(Millis(sent_at - 100))
+    assert (uplink.proven_until, uplink.heard_at) == (sent_at, clock.at)
