Share the loss of links during a request between two tests of relays

The two tests recorded the calls, lost the links and failed the calls by the same lines. Their assertions stay; all 31 tests of the file pass.

--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -90,6 +90,30 @@
     return RouteHarness(cut, harness.pools, harness.table), peer
 
 
+async def ask_and_lose_links(harness, cut, route, after, are_sent=False):
+    """Return the answer to a request during which the links are lost and the open calls fail."""
+    calls = []
+    start = harness.pools.start
+
+    def start_recorded(instance, call, connections):
+        calls.append(call)
+        if are_sent:
+            call.sent_at = harness.tools.clock.now()
+        return start(instance, call, connections)
+
+    async def lose_links():
+        await sleep(after)
+        cut.tools.uplink.state = UplinkState.DOWN
+        for call in calls:
+            call.fail("links lost")
+
+    harness.pools.start = start_recorded
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lose_links)
+        answer, _ = await cut.ask(route)
+    return answer
+
+
 def test_a_whole_gather_is_run_by_a_peer():
     async def body(harness):
         cut, peer = cut_daemon(harness)
@@ -134,23 +158,7 @@
     async def body(harness):
         cut, peer = cut_daemon(harness, state=UplinkState.UP)
 
-        async def lose_links():
-            await sleep(Millis(50))
-            cut.tools.uplink.state = UplinkState.DOWN
-            for call in calls:
-                call.fail("links lost")
-
-        calls = []
-        start = harness.pools.start
-
-        def start_recorded(instance, call, connections):
-            calls.append(call)
-            return start(instance, call, connections)
-
-        harness.pools.start = start_recorded
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(lose_links)
-            answer, _ = await cut.ask(scatter_route(4))
+        answer = await ask_and_lose_links(harness, cut, scatter_route(4), Millis(50))
         assert isinstance(answer, Answer)
         assert len(answer.stamps) == 4
         (relay,) = peer.relays
@@ -170,24 +178,8 @@
     async def body(harness):
         cut, peer = cut_daemon(harness, state=UplinkState.UP)
 
-        async def lose_links():
-            await sleep(Millis(20))
-            cut.tools.uplink.state = UplinkState.DOWN
-            for call in calls:
-                call.fail("links lost")
-
-        calls = []
-        start = harness.pools.start
-
-        def start_recorded(instance, call, connections):
-            calls.append(call)
-            call.sent_at = harness.tools.clock.now()
-            return start(instance, call, connections)
-
-        harness.pools.start = start_recorded
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(lose_links)
-            await cut.ask(scatter_route(3, max_attempts=2, latency_target=Millis(10_000)))
+        route = scatter_route(3, max_attempts=2, latency_target=Millis(10_000))
+        await ask_and_lose_links(harness, cut, route, Millis(20), are_sent=True)
         assert [set(relay.tried.values()) for relay in peer.relays] == [{1}]
         assert len(harness.pools.sent) <= 3 * 2
 
