Confirm a suspected crash by probes of the instance, beside others

Cause: the evidence was of another time or of another kind than the failure. A reply proves neither that the instance was down while others were reached, nor that new connections can be opened. Now a suspected instance is probed by a connect beside four others: it has crashed if it is unreachable while one of them is reached. One that is reached again has crashed only if the registry says that it was restarted. A connection that is closed within 100 ms isn't accepted: a relay in between accepts and resets.

The tests of `proven_until`, which is gone, are replaced by these: they ask for the state of the instance itself instead of a reply of any other.

--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -53,9 +53,9 @@
     """Record which instances crashed while they ran a request that no instance has answered.
 
     A broken reply counts as a crash only if its instance is found unreachable, removed or restarted
-    soon after, and not if this daemon has lost its own links: an unreachable instance has crashed
-    only if a request sent afterwards is answered. A single complete reply clears the request's
-    record, here and at all peers.
+    soon after. An unreachable instance is only suspected until probes confirm it, as it may be this
+    daemon that has lost its links. A single complete reply clears the request's record, here and at
+    all peers.
     """
 
     def __init__(self, items: GossipMap, clock: Clock) -> None:
@@ -93,17 +93,19 @@
             suspicion = _Suspicion(replica_id, broken_replies, self._clock.now())
             self._suspicions.append(suspicion)
 
-    def confirm_unreachable(self, proven_until: Millis) -> None:
-        """Count suspected crashes, given when the last request that was answered had been sent.
+    def suspected(self) -> set[ReplicaId]:
+        """Return the instances that are suspected to have crashed."""
+        return {suspicion.replica_id for suspicion in self._suspicions}
 
-        The time of the reply proves nothing: a busy daemon reads it long after links are lost.
-        """
-        pending, self._suspicions = self._suspicions, []
-        for suspicion in pending:
-            if proven_until > suspicion.at:
-                self._record_crashes(suspicion.replica_id, suspicion.broken_replies, suspicion.at)
-            else:
-                self._suspicions.append(suspicion)
+    def confirm_crash(self, replica_id: ReplicaId) -> None:
+        """Count the crash of a suspected instance."""
+        for suspicion in self._take_suspicions(replica_id):
+            self._record_crashes(replica_id, suspicion.broken_replies, suspicion.at)
+
+    def withdraw_suspicion(self, replica_id: ReplicaId) -> None:
+        """Keep only the broken replies of an instance that is reachable, in case it restarted."""
+        for suspicion in self._take_suspicions(replica_id):
+            self._broken_by_replica.setdefault(replica_id, []).extend(suspicion.broken_replies)
 
     def discard_unconfirmed(self) -> None:
         """Forget broken replies and suspicions that lost links of this daemon explain."""
@@ -117,16 +119,16 @@
     def record_instance_lost(self, replica_id: ReplicaId) -> None:
         """Count the recent broken replies of an instance that was removed or restarted."""
         broken_replies = self._broken_by_replica.pop(replica_id, [])
-        for suspicion in [s for s in self._suspicions if s.replica_id == replica_id]:
-            self._suspicions.remove(suspicion)
+        for suspicion in self._take_suspicions(replica_id):
             broken_replies += suspicion.broken_replies
         self._record_crashes(replica_id, broken_replies, self._clock.now())
 
     def record_success(self, fingerprint: str) -> None:
         """Clear a request that an instance answered."""
         self._suspicions = [
-            replace(suspicion, broken_replies=_without(fingerprint, suspicion.broken_replies))
+            replace(suspicion, broken_replies=kept)
             for suspicion in self._suspicions
+            if (kept := _without(fingerprint, suspicion.broken_replies))
         ]
         for replica_id, broken_replies in list(self._broken_by_replica.items()):
             kept = _without(fingerprint, broken_replies)
@@ -149,6 +151,11 @@
                 self._items.remove(key)
                 self._record_by_fingerprint.pop(key.removeprefix(CRASH_PREFIX), None)
 
+    def _take_suspicions(self, replica_id: ReplicaId) -> list[_Suspicion]:
+        taken = [s for s in self._suspicions if s.replica_id == replica_id]
+        self._suspicions = [s for s in self._suspicions if s.replica_id != replica_id]
+        return taken
+
     def _record_crashes(
         self, replica_id: ReplicaId, broken_replies: list[_BrokenReply], lost_at: Millis
     ) -> None:
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -229,7 +229,7 @@
             if isinstance(reply, HttpFailure) and not isinstance(reply, ReplyOverBounds):
                 self._uplink.record_failure(self.instance)
             else:
-                self._uplink.record_heard(call.sent_at)
+                self._uplink.record_heard()
             if isinstance(reply, ReplyOverBounds):
                 self._log_over_bounds(message, reply)
             if isinstance(reply, HttpFailure):
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -13,6 +13,8 @@
 from firtrestle.backoffs import Backoffs
 from firtrestle.base_daemons import STOP_POLL_INTERVAL, BaseDaemon
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after, sleep
+from firtrestle.connect_probes import ConnectProber
+from firtrestle.crash_probes import CrashProbes
 from firtrestle.crash_records import CrashRecords
 from firtrestle.departures import Departures
 from firtrestle.events import EventKind
@@ -121,16 +123,13 @@
         self.instances = Instances(
             clock, self._remove_replicas, self._departures, self._withdraw_waiting
         )
+        prober = ConnectProber(settings.daemon.source_address)
         self._uplink_monitor = UplinkMonitor(
-            self._uplink,
-            self.instances.all,
-            self._pools.silent,
-            clock,
-            rng,
-            settings.daemon.source_address,
+            self._uplink, self.instances.all, self._pools.silent, clock, rng, prober
         )
         self._budgets = self._build_budgets()
         self._crashes = CrashRecords(self.items, clock)
+        self._crash_probes = CrashProbes(self._crashes, self.instances, prober, rng)
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
@@ -215,6 +214,7 @@
         start(self._members.run)
         start(self._pause_guard.run)
         start(self._uplink_monitor.run)
+        start(self._crash_probes.run)
         start(self._source.run)
         start(self._reader_role.run)
         start(self._run_housekeeping)
@@ -231,7 +231,6 @@
             self._backoffs.expire()
             self._rate_limits.expire()
             self._slow_reports.expire()
-            self._crashes.confirm_unreachable(self._uplink.proven_until)
             self._crashes.expire()
             self._pools.close_stale()
             self._uplink_reports.publish()
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -7,11 +7,10 @@
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 
-import trio
 from loguru import logger
 
 from firtrestle.clocks import Clock, Millis, sleep
-from firtrestle.http_clients import HttpConnection
+from firtrestle.connect_probes import ConnectProber
 from firtrestle.instances import Instance
 
 CHECK_INTERVAL = Millis(100)
@@ -24,7 +23,6 @@
 MIN_SILENT_SERVICES = 2
 PROBES_AT_ONCE = 4  # to confirm a loss
 MIN_CONFIRM_INTERVAL = Millis(1_000)  # between such probes, while instances accept connections
-PROBE_TIMEOUT = Millis(150)
 MIN_PROBE_INTERVAL = Millis(250)
 MAX_PROBE_INTERVAL = Millis(1_000)
 PROBE_BACKOFF_FACTOR = 1.5
@@ -61,7 +59,6 @@
     ) -> None:
         self.state = UplinkState.UP
         self.heard_at = clock.now()  # the last reply of any instance
-        self.proven_until = Millis(0)  # when the last request that was answered had been sent
         self.losses = 0
         self._clock = clock
         self._rng = rng
@@ -108,9 +105,8 @@
         self._next_trial_at = Millis(now + TRIAL_INTERVAL)
         return True
 
-    def record_heard(self, sent_at: Millis = Millis(0)) -> None:
-        """Record a reply to a request sent at a time, which proves that the links work."""
-        self.proven_until = max(self.proven_until, sent_at)
+    def record_heard(self) -> None:
+        """Record a reply, which proves that the links work."""
         self.heard_at = self._silent_since = self._clock.now()
         self._service_by_failed_id.clear()
         if self.state is not UplinkState.UP:
@@ -217,14 +213,14 @@
         list_silent: ListSilent,
         clock: Clock,
         rng: random.Random,
-        source: str = "",
+        prober: ConnectProber,
     ) -> None:
         self._uplink = uplink
         self._list_instances = list_instances
         self._list_silent = list_silent
         self._clock = clock
         self._rng = rng
-        self._source = source
+        self._prober = prober
         self._probe_interval = MIN_PROBE_INTERVAL
         self._next_probe_at = Millis(0)
         self._losses_probed = 0
@@ -294,17 +290,5 @@
     async def _probe(self, count: int) -> bool:
         """Return whether one of some random instances accepts a connection."""
         instances = self._list_instances()
-        connected: list[bool] = []
-
-        async def connect(instance: Instance) -> None:
-            opened = await HttpConnection.open(
-                instance.host, instance.port, PROBE_TIMEOUT, source=self._source
-            )
-            if isinstance(opened, HttpConnection):
-                connected.append(True)
-                await opened.close()
-
-        async with trio.open_nursery() as nursery:
-            for instance in self._rng.sample(instances, min(count, len(instances))):
-                nursery.start_soon(connect, instance)
-        return bool(connected)
+        chosen = self._rng.sample(instances, min(count, len(instances)))
+        return bool(await self._prober.find_accepting(chosen))
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -91,13 +91,12 @@
         return call
 
     async def _reply(self, instance: Instance, call: InstanceCall, nth: int) -> None:
-        sent_at = self.uplink._clock.now()
         with call.scope:
             delay, reply = self.behave(instance, nth)
             await sleep(Millis(min(delay, 3_600_000)))
             time.sleep(self.work_ms / MILLIS_PER_SECOND)
             if reply.status:
-                self.uplink.record_heard(sent_at)
+                self.uplink.record_heard()
             call.finish(reply)
 
 
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -131,40 +131,39 @@
 
 
 # Guards against lost links of a daemon being taken for crashes, which quarantines good requests.
-def test_instances_that_are_all_unreachable_have_not_crashed():
-    clock, first, second = pair()
+def test_suspected_crashes_that_lost_links_explain_are_forgotten():
+    _, first, second = pair()
     for name in ("i1", "i2", "i3", "i4"):
         first.records.record_broken_reply("f", replica(name))
         first.records.record_unreachable(replica(name))
-    heard_before = clock.at
-    clock.at += 2_000
-    first.records.confirm_unreachable(heard_before)
     second.sync(first)
     assert first.records.time_left("f") is None
     assert second.records.time_left("f") is None
     first.records.discard_unconfirmed()
-    first.records.confirm_unreachable(clock.at)
-    assert first.records.time_left("f") is None
+    assert first.records.is_empty
 
 
-def test_an_unreachable_instance_has_crashed_if_another_one_replies_afterwards():
-    clock, first, _ = pair()
+def test_an_instance_that_is_reached_again_has_crashed_only_if_it_was_restarted():
+    _, first, _ = pair()
     for name in ("i1", "i2", "i3"):
         first.records.record_broken_reply("f", replica(name))
         first.records.record_unreachable(replica(name))
-    clock.at += 1
-    first.records.confirm_unreachable(clock.at)
+        first.records.withdraw_suspicion(replica(name))
+    assert not first.records.suspected()
+    assert first.records.time_left("f") is None
+    for name in ("i1", "i2", "i3"):
+        first.records.record_instance_lost(replica(name))
     assert first.records.time_left("f") == QUARANTINE_DURATION
 
 
 def test_the_success_of_another_request_leaves_a_suspected_crash_as_it_is():
-    clock, first, _ = pair()
+    _, first, _ = pair()
     for name in ("i1", "i2", "i3"):
         for fingerprint in ("poison", "innocent"):
             first.records.record_broken_reply(fingerprint, replica(name))
         first.records.record_unreachable(replica(name))
     first.records.record_success("innocent")
-    clock.at += 1
-    first.records.confirm_unreachable(clock.at)
+    for replica_id in first.records.suspected():
+        first.records.confirm_crash(replica_id)
     assert first.records.time_left("poison") == QUARANTINE_DURATION
     assert first.records.time_left("innocent") is None
--- a/packages/firtrestle/tests/test_load_patterns.py
+++ b/packages/firtrestle/tests/test_load_patterns.py
@@ -7,6 +7,7 @@
 import trio
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
+from firtrestle.crash_probes import CrashProbes
 from firtrestle.crash_records import message_fingerprint
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.instance_replies import CallerMessage
@@ -250,17 +251,23 @@
 def test_a_request_that_crashes_its_searchers_is_quarantined_and_others_are_not():
     """Each instance that gets the request drops the connection and becomes unreachable.
 
-    Another service goes on replying: without that, this daemon's own links may be lost.
+    The instances of another service accept connections: else this daemon's links may be lost.
     """
 
+    class Prober:
+        async def find_accepting(self, instances):
+            return [instance for instance in instances if instance.id not in crashed]
+
     async def body(harness):
+        tools = harness.tools
+        probes = CrashProbes(tools.crashes, tools.instances, Prober(), tools.rng)
         route = plain_route(repeatable=True)
         for _ in range(3):
             await harness.ask(route, target="/p/poison")
             await sleep(Millis(50))
             await harness.ask(route, target="/p/innocent")
             await harness.ask(route, services=("s1",), target="/p/other")
-            harness.tools.crashes.confirm_unreachable(harness.tools.uplink.proven_until)
+            await probes.check()
         message = CallerMessage("r", "GET", "/p/poison", "h", (), b"")
         assert harness.tools.crashes.time_left(message_fingerprint(message)) is not None
         innocent = replace(message, target="/p/innocent")
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 from firtrestle.clocks import Clock, Millis, sleep
+from firtrestle.connect_probes import ConnectProber
 from firtrestle.instances import Instance
 from firtrestle.uplinks import (
     MAX_SILENCE,
@@ -167,6 +168,10 @@
     assert uplink.state is UplinkState.UP
 
 
+async def keep_open(stream: trio.SocketStream) -> None:
+    await stream.receive_some()
+
+
 class FakeInstances:
     """Refuse connections on a port that nothing listens on, or accept them on another."""
 
@@ -183,27 +188,23 @@
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
     if accepts:
-        nursery.start_soon(trio.serve_listeners, trio.aclose_forcefully, listeners)
+        nursery.start_soon(trio.serve_listeners, keep_open, listeners)
     else:
         await listeners[0].aclose()
     clock = Clock()
     uplink = Uplink(clock, random.Random(1))
     monitor = UplinkMonitor(
-        uplink, FakeInstances(port).all, lambda since, duration: [], clock, random.Random(1)
+        uplink,
+        FakeInstances(port).all,
+        lambda since, duration: [],
+        clock,
+        random.Random(1),
+        ConnectProber(),
     )
     nursery.start_soon(monitor.run)
     await sleep(Millis(600))
     assert uplink.state is UplinkState.UP
     monitor.record_loss_of_peer()
-    await sleep(Millis(200))
+    await sleep(Millis(300))
     assert (uplink.state is UplinkState.UP) == accepts
     nursery.cancel_scope.cancel()
-
-
-# Guards against a reply that is read late being taken for a proof that the links work now.
-def test_links_are_proven_until_the_last_answered_request_was_sent(uplink, clock):
-    sent_at = Millis(clock.at)
-    clock.at += 400
-    uplink.record_heard(sent_at)
-    uplink.record_heard(Millis(sent_at - 100))
-    assert (uplink.proven_until, uplink.heard_at) == (sent_at, clock.at)
