Judge apart whether new connections to instances can be opened

Cause: one belief for two things that fail apart. `Uplink.opens` now says whether new connections can be opened: they failed before their first reply at four instances of two services since one last worked, and none of four probed instances accepts. Then only open connections are used, services without one are run by a peer before anything is sent to them, hedges and retries spare them, the daemon takes no relays, and says so to its peers. A probe each 250 ms to 1 s, or the first reply over a new connection, ends it.

test_new_connections_may_fail_while_open_ones_work, test_services_without_an_open_connection_are_run_by_a_peer_..., test_a_request_that_needs_a_new_connection_is_not_tried_while_none_opens fail without it.

--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -157,6 +157,14 @@
             for call in self._sent_calls
         )
 
+    def has_idle(self) -> bool:
+        """Return whether a connection is open that a call could use at once."""
+        now = self._clock.now()
+        return any(
+            now - idle.idle_since < idle.max_idle and idle.connection.has_no_pending_input()
+            for idle in self._idle
+        )
+
     def refuse_waiting(self, refusal: InstanceReply) -> None:
         """Answer the calls that wait for a connection, none of which was sent."""
         for waiter in self._waiters:
@@ -227,9 +235,9 @@
             request = self._codec.request(message, self.instance, left)
             reply = await connection.send_prepared(request, message.body, call.max_reply_bytes)
             if isinstance(reply, HttpFailure) and not isinstance(reply, ReplyOverBounds):
-                self._uplink.record_failure(self.instance)
+                self._uplink.record_failure(self.instance, call.opened_connection)
             else:
-                self._uplink.record_heard()
+                self._uplink.record_heard(call.opened_connection)
             if isinstance(reply, ReplyOverBounds):
                 self._log_over_bounds(message, reply)
             if isinstance(reply, HttpFailure):
@@ -314,10 +322,10 @@
                 self.instance.host, self.instance.port, timeout, self._memory, self._source
             )
             if isinstance(opened, HttpFailure):
-                self._uplink.record_failure(self.instance)
+                self._uplink.record_failure(self.instance, is_new=True)
         except trio.Cancelled:
             if self._clock.now() - started_at >= MAX_CONNECT_TIME:
-                self._uplink.record_failure(self.instance)
+                self._uplink.record_failure(self.instance, is_new=True)
             raise
         finally:
             if isinstance(opened, HttpFailure):
@@ -364,6 +372,11 @@
         pool.limit = connections
         return pool.start(call)
 
+    def has_idle(self, replica_id: ReplicaId) -> bool:
+        """Return whether a connection to an instance is open that a call could use at once."""
+        pool = self._pool_by_id.get(replica_id)
+        return pool is not None and pool.has_idle()
+
     def remove(self, ids: set[ReplicaId]) -> None:
         """Close and remove the pools of deregistered instances."""
         for replica_id in ids:
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -58,6 +58,11 @@
     "1 while this daemon believes that it reaches no instance",
     registry=REGISTRY,
 )
+OPENING_LOST = Gauge(
+    "firtrestle_uplink_opening_lost",
+    "1 while this daemon believes that it can open no connection to an instance",
+    registry=REGISTRY,
+)
 UPLINK_LOSSES = Gauge(
     "firtrestle_uplink_losses",
     "Times that this daemon has lost its links to the instances, since the start",
--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -107,8 +107,10 @@
 
         So it is while connections that are open work, and new ones don't.
         """
+        reason = self.attempt_summary.reason_by_service.get(service)
+        is_unsent = reason is SubOutcome.NO_REPLICA and not self._tools.uplink.opens
         return (
-            self.attempt_summary.reason_by_service.get(service) is SubOutcome.UNREACHABLE
+            (is_unsent or reason is SubOutcome.UNREACHABLE)
             and not self._tried_by_service.get(service)
             and self._tools.relays.may_reach(service)
         )
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -250,7 +250,11 @@
         if self._uplink.state is UplinkState.DOWN:
             self._crashes.discard_unconfirmed()
             self._pools.abandon("this daemon's links to the instances are lost")
-        elif self._uplink.state is UplinkState.UP and before is not UplinkState.SUSPECT:
+        elif (
+            self._uplink.state is UplinkState.UP
+            and before is not UplinkState.SUSPECT
+            and self._uplink.opens
+        ):
             self._replicas.forget_failures()
         self._uplink_reports.publish()
 
@@ -362,6 +366,7 @@
         metrics.REPORTED_SLOW.set(self._slow_reports.slow_count())
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
+        metrics.OPENING_LOST.set(not self._uplink.opens)
         metrics.RELAYED.set(self._relays.relayed)
         metrics.NOT_RELAYED.set(self._relays.not_relayed)
         metrics.RELAYS_SERVED.set(self._relay_server.served)
@@ -392,6 +397,7 @@
             "connections": self._pools.open_connections,
             "members": {m.id: m.status.name.lower() for m in self._members.by_id.values()},
             "uplink": str(self._uplink.state),
+            "opens_connections": self._uplink.opens,
             "source": self._source.status(),
         }
 
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -151,7 +151,7 @@
         """
         for shard in list(self._open_by_shard):
             service = self._services[shard]
-            if not self._tools.availability.is_usable(service):
+            if not (self._tools.availability.is_usable(service) and self._may_reach(shard)):
                 self._give_up_shard(shard, SubOutcome.NO_REPLICA)
         if not self._should_stop():
             super()._send_first()
@@ -217,7 +217,17 @@
             self._log_ejection(loser, waited)
 
     def _has_capacity(self, replica: Replica) -> bool:
-        return self._tools.availability.has_capacity(replica)
+        return self._tools.availability.has_capacity(replica) and self._may_connect(replica.id)
+
+    def _may_reach(self, shard: int) -> bool:
+        """Return whether a request can be sent to a replica of a shard."""
+        return self._tools.uplink.opens or any(map(self._may_connect, self._replica_ids(shard)))
+
+    def _may_connect(self, replica_id: ReplicaId) -> bool:
+        """Return whether a request can be sent to a replica, if need be over an open connection."""
+        if self._tools.uplink.opens:
+            return True
+        return self._route.repeatable and self._tools.pools.has_idle(replica_id)
 
     def _record_overdue(self, state: ShardState) -> None:
         """Record as overdue a shard's attempts that are still open, and old enough, at the end.
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -58,13 +58,16 @@
         on_change: Callable[[UplinkState], None] = lambda before: None,
     ) -> None:
         self.state = UplinkState.UP
+        self.opens = True  # whether instances accept new connections of this daemon
         self.heard_at = clock.now()  # the last reply of any instance
         self.losses = 0
+        self.opening_losses = 0
         self._clock = clock
         self._rng = rng
         self._on_change = on_change
         self._changed_at = self._silent_since = self.heard_at
         self._service_by_failed_id: dict[str, str] = {}  # failed since an instance was heard
+        self._service_by_unopened_id: dict[str, str] = {}  # since a new connection has worked
         self._failing_since = Millis(0)
         self._next_trial_at = Millis(0)
 
@@ -79,7 +82,12 @@
 
         A mere suspicion doesn't count: it is not told to peers, who would all probe for it.
         """
-        return not self.is_lost and self._return_share() >= 1.0
+        return self.opens and not self.is_lost and self._return_share() >= 1.0
+
+    @property
+    def is_opening_in_doubt(self) -> bool:
+        """Return whether new connections failed at so many instances that the cause may be here."""
+        return self.opens and _are_many(self._service_by_unopened_id)
 
     def has_heard_since(self, at: Millis) -> bool:
         """Return whether any instance has replied since a time."""
@@ -105,17 +113,21 @@
         self._next_trial_at = Millis(now + TRIAL_INTERVAL)
         return True
 
-    def record_heard(self) -> None:
-        """Record a reply, which proves that the links work."""
+    def record_heard(self, is_new: bool = False) -> None:
+        """Record a reply, which proves that the links work, also new ones if it is the first."""
+        if is_new:
+            self._record_opened()
         self.heard_at = self._silent_since = self._clock.now()
         self._service_by_failed_id.clear()
         if self.state is not UplinkState.UP:
             self._change(UplinkState.UP)
 
-    def record_failure(self, instance: Instance) -> None:
-        """Record that an instance was not reached, or that its connection broke."""
+    def record_failure(self, instance: Instance, is_new: bool = False) -> None:
+        """Record that a connection to an instance failed; a new one, before its first reply."""
         if self.state is UplinkState.DOWN:
             return
+        if is_new:
+            self._service_by_unopened_id[instance.id] = instance.service
         if not self._service_by_failed_id:
             self._failing_since = self._clock.now()
         self._service_by_failed_id[instance.id] = instance.service
@@ -138,11 +150,7 @@
             if service_by_id:
                 self._change(UplinkState.DOWN, silent=len(service_by_id))
             return
-        is_silent = (
-            silence >= MAX_SILENCE
-            and len(service_by_id) >= MIN_SILENT_INSTANCES
-            and len(set(service_by_id.values())) >= MIN_SILENT_SERVICES
-        )
+        is_silent = silence >= MAX_SILENCE and _are_many(service_by_id)
         if not is_silent:
             if self.state is UplinkState.SUSPECT:
                 self._change(UplinkState.UP)
@@ -157,6 +165,10 @@
 
         A reply that came while they were probed counts more.
         """
+        if connected:
+            self._record_opened()
+        elif self.is_opening_in_doubt:
+            self._change_opens(False)
         is_silent = self.silence() >= MAX_SILENCE
         if self.state in (UplinkState.UP, UplinkState.SUSPECT) and not connected and is_silent:
             self._change(UplinkState.DOWN)
@@ -172,6 +184,21 @@
         """Return the time since the last reply of any instance."""
         return Millis(self._clock.now() - self.heard_at)
 
+    def _record_opened(self) -> None:
+        self._service_by_unopened_id.clear()
+        if not self.opens:
+            self._change_opens(True)
+
+    def _change_opens(self, opens: bool) -> None:
+        self.opens = opens
+        self.opening_losses += not opens
+        logger.bind(
+            opens=opens,
+            failed_instances=len(self._service_by_unopened_id),
+            unheard_ms=round(self.unheard_for()),
+        ).log("INFO" if opens else "WARNING", "new connections to the instances")
+        self._on_change(self.state)
+
     def _return_share(self) -> float:
         if not self.losses:
             return 1.0
@@ -195,9 +222,16 @@
             self._changed_at = now
         if state is UplinkState.DOWN:
             self._service_by_failed_id.clear()
+            self._service_by_unopened_id.clear()
         self._on_change(before)
 
 
+def _are_many(service_by_id: dict[str, str]) -> bool:
+    """Return whether failures of these instances rather have a common cause than causes there."""
+    services = set(service_by_id.values())
+    return len(service_by_id) >= MIN_SILENT_INSTANCES and len(services) >= MIN_SILENT_SERVICES
+
+
 ListInstances = Callable[[], list[Instance]]
 # Lists those with a call that was sent since a time and is unanswered for a duration.
 ListSilent = Callable[[Millis, Millis], list[Instance]]
@@ -250,8 +284,7 @@
         uplink = self._uplink
         if uplink.state is UplinkState.UP and uplink.silence() < MAX_SILENCE:
             self._peer_lost_links = False
-            return
-        if uplink.state is not UplinkState.DOWN:
+        elif uplink.state is not UplinkState.DOWN:
             is_trial = uplink.state is UplinkState.TRIAL
             silent = (
                 self._list_silent(self._trial_since, MAX_TRIAL_SILENCE)
@@ -260,9 +293,10 @@
             )
             uplink.check(silent)
         is_in_doubt = uplink.state is UplinkState.UP and self._peer_lost_links
-        if uplink.state is UplinkState.SUSPECT or is_in_doubt:
+        if uplink.state is UplinkState.SUSPECT or is_in_doubt or uplink.is_opening_in_doubt:
             await self._confirm(now)
-        if uplink.state is UplinkState.DOWN and now >= self._next_probe_at:
+        is_lost = uplink.state is UplinkState.DOWN or not uplink.opens
+        if is_lost and now >= self._next_probe_at:
             await self._probe_for_return(now)
 
     async def _confirm(self, now: Millis) -> None:
@@ -271,12 +305,13 @@
             return
         self._confirmed_at = now
         self._peer_lost_links = False
-        if self._list_instances() and not await self._probe(PROBES_AT_ONCE):
-            self._uplink.record_probes(False)
+        if self._list_instances():
+            self._uplink.record_probes(await self._probe(PROBES_AT_ONCE))
 
     async def _probe_for_return(self, now: Millis) -> None:
-        if self._losses_probed != self._uplink.losses:
-            self._losses_probed = self._uplink.losses
+        losses = self._uplink.losses + self._uplink.opening_losses
+        if self._losses_probed != losses:
+            self._losses_probed = losses
             self._probe_interval = MIN_PROBE_INTERVAL
         else:
             longer = self._probe_interval * PROBE_BACKOFF_FACTOR
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -31,6 +31,7 @@
 from firtrestle.service_tools import ServiceTools
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
+from firtrestle.snapshots import ReplicaId
 from firtrestle.uplinks import Uplink
 from trio.testing import MockClock
 
@@ -84,12 +85,16 @@
     uplink: Uplink
     sent: list[str] = field(default_factory=list)
     work_ms: float = 0.0  # processor time that each reply costs
+    connected: set[str] = field(default_factory=set)  # instances with an idle connection
 
     def start(self, instance: Instance, call: InstanceCall, connections: int) -> InstanceCall:
         self.sent.append(instance.id)
         self.nursery.start_soon(self._reply, instance, call, Counter(self.sent)[instance.id])
         return call
 
+    def has_idle(self, replica_id: ReplicaId) -> bool:
+        return replica_id.target_id in self.connected
+
     async def _reply(self, instance: Instance, call: InstanceCall, nth: int) -> None:
         with call.scope:
             delay, reply = self.behave(instance, nth)
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -472,3 +472,48 @@
             assert gather.attempt_summary.relayed_to == ""
 
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+# Guards against requests being sent over new connections that are known to fail.
+def test_services_without_an_open_connection_are_run_by_a_peer_while_no_new_one_opens():
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.UP)
+        cut.tools.uplink.opens = False
+        harness.pools.connected |= {"s0-0", "s1-0", "s1-1", "s1-2"}
+        answer, gather = await cut.ask(scatter_route(3))
+        assert (len(answer.stamps), answer.missing) == (3, 0)
+        assert gather.attempt_summary.relayed_to == "p1"
+        assert [relay.services for relay in peer.relays] == [["s2"]]
+        assert harness.pools.sent[0] == "s0-0"
+        assert len(harness.pools.sent) == 3
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body, services=3)
+
+
+@pytest.mark.parametrize("peers", [("p1",), ()])
+def test_a_request_that_needs_a_new_connection_is_not_tried_while_none_opens(peers):
+    async def body(harness):
+        cut, peer = cut_daemon(harness, peers, UplinkState.UP)
+        cut.tools.uplink.opens = False
+        harness.pools.connected |= {"s0-0", "s0-1", "s0-2"}
+        answer, gather = await cut.ask(plain_route())
+        assert peer.asked == list(peers)
+        assert len(harness.pools.sent) == len(peers)
+        if peers:
+            assert answer.body == record("s0")
+        else:
+            assert (answer.kind, answer.ran) == (ErrorKind.NO_TARGET, Ran.FALSE)
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_peer_that_opens_no_connections_refuses_relays():
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        harness.tools.uplink.opens = False
+        answer, _ = await cut.ask(scatter_route(3))
+        assert isinstance(answer, Refused)
+        assert answer.ran is Ran.FALSE
+        assert harness.pools.sent == []
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -208,3 +208,42 @@
     await sleep(Millis(300))
     assert (uplink.state is UplinkState.UP) == accepts
     nursery.cancel_scope.cancel()
+
+
+def fail_new_connections(uplink, count=MIN_SILENT_INSTANCES, services=3):
+    for instance in instances(count, services):
+        uplink.record_failure(instance, is_new=True)
+
+
+# Guards against replies over open connections hiding that no new one can be opened.
+def test_new_connections_may_fail_while_open_ones_work(uplink, clock):
+    fail_new_connections(uplink)
+    uplink.record_heard()
+    assert uplink.is_opening_in_doubt
+    uplink.record_probes(False)
+    uplink.record_heard()
+    assert not uplink.opens
+    assert not uplink.is_settled
+    assert uplink.state is UplinkState.UP
+    assert uplink.admits()
+    uplink.record_probes(True)
+    assert uplink.opens
+
+
+def test_the_first_reply_over_a_connection_proves_that_new_ones_work(uplink, clock):
+    fail_new_connections(uplink)
+    uplink.record_probes(False)
+    assert not uplink.opens
+    uplink.record_heard(is_new=True)
+    assert uplink.opens
+    assert not uplink.is_opening_in_doubt
+
+
+@pytest.mark.parametrize(("count", "services"), [(MIN_SILENT_INSTANCES - 1, 3), (9, 1)])
+def test_new_connections_that_fail_at_few_instances_are_no_reason_to_probe(
+    uplink, clock, count, services
+):
+    fail_new_connections(uplink, count, services)
+    assert not uplink.is_opening_in_doubt
+    uplink.record_probes(False)
+    assert uplink.opens
