--- a/packages/firtrestle-client/firtrestle_client/explanations.py
+++ b/packages/firtrestle-client/firtrestle_client/explanations.py
@@ -18,6 +18,7 @@
         "instance limits its rate",
         "instance removed",
         "links to the instances",
+        "new connections to the instances",
         "registration lapsed, kept",
         "registry read failed",
         "registry watch given up after a check",
