Judge in one place whether an idle connection is usable

Taking a connection, closing stale ones and has_idle each checked its age and its unread input by the same lines; has_idle had added the third copy. No change of behaviour; test_instance_pools, test_relays and test_service_gathers pass.

--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -94,6 +94,10 @@
     idle_since: Millis
     max_idle: Millis
 
+    def is_usable(self, now: Millis) -> bool:
+        """Return whether it has neither expired nor been closed or written to by the instance."""
+        return now - self.idle_since < self.max_idle and self.connection.has_no_pending_input()
+
 
 @dataclass(slots=True, eq=False)
 class _Waiter:
@@ -160,10 +164,7 @@
     def has_idle(self) -> bool:
         """Return whether a connection is open that a call could use at once."""
         now = self._clock.now()
-        return any(
-            now - idle.idle_since < idle.max_idle and idle.connection.has_no_pending_input()
-            for idle in self._idle
-        )
+        return any(idle.is_usable(now) for idle in self._idle)
 
     def refuse_waiting(self, refusal: InstanceReply) -> None:
         """Answer the calls that wait for a connection, none of which was sent."""
@@ -183,7 +184,7 @@
         now = self._clock.now()
         kept: list[_IdleConnection] = []
         for idle in self._idle:
-            if now - idle.idle_since < idle.max_idle and idle.connection.has_no_pending_input():
+            if idle.is_usable(now):
                 kept.append(idle)
             else:
                 self._nursery.start_soon(self._close_connection, idle.connection)
@@ -275,8 +276,7 @@
                 return refusal
             while self._idle and not call.fresh:
                 idle = self._idle.pop()
-                is_unexpired = self._clock.now() - idle.idle_since < idle.max_idle
-                if is_unexpired and idle.connection.has_no_pending_input():
+                if idle.is_usable(self._clock.now()):
                     return idle.connection
                 await self._close_connection(idle.connection)
             if call.fresh and self._idle and self.open_connections >= self.limit:
