Probe instances as soon as two of them fail, to tell lost links from failed instances

Cause: a doubt about the links, and about opening connections, was raised only by failures of four instances of two services. That bar is right for a verdict without further evidence, as one service may fail as a whole, but it also kept the probes of random instances, which settle the question, from being sent. Callers that ask one service never meet it: three instances is all that their requests touch.

Now two failed instances are enough for the probes, at most once a second; the bar for a verdict without them stays. The test that 'few instances are no reason to probe' held the cause in place: it is replaced by ones as strict of both sides: one instance is no reason, few are one, and only failed probes change the belief.

--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -18,6 +18,7 @@
 MAX_SILENCE = Millis(300)  # a healthy instance's pause is shorter
 # While instances accept connections. Overloaded ones may all be silent for shorter times.
 MAX_SILENCE_IF_CONNECTABLE = Millis(2_000)
+MIN_DOUBTFUL_INSTANCES = 2  # that fail: reason enough for probes, which tell links from instances
 # Fewer silent instances, or those of one service, may be at fault themselves.
 MIN_SILENT_INSTANCES = 4
 MIN_SILENT_SERVICES = 2
@@ -46,9 +47,10 @@
 class Uplink:
     """Keep the belief whether this daemon, rather than its instances, is cut off.
 
-    A single instance's silence tells nothing of the daemon's own links. When all instances that
-    were asked are silent, and several services among them, the common cause is most likely here.
-    Any reply proves the opposite.
+    A single instance's silence tells nothing of the daemon's own links. That of a few may be their
+    own fault, or all that shows of lost links while requests need no others: probes tell. When all
+    instances that were asked are silent, and several services among them, the common cause is most
+    likely here. Any reply proves the opposite.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self._rng = rng
         self._on_change = on_change
         self._changed_at = self._silent_since = self.heard_at
+        self._are_some_silent = False  # too few to suspect the links without probes
         self._service_by_failed_id: dict[str, str] = {}  # failed since an instance was heard
         self._service_by_unopened_id: dict[str, str] = {}  # since a new connection has worked
         self._failing_since = Millis(0)
@@ -84,10 +87,16 @@
         """
         return self.opens and not self.is_lost and self._return_share() >= 1.0
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Return whether probes are to tell lost links from instances at fault."""
+        is_suspect = self.state is UplinkState.SUSPECT
+        return is_suspect or self._are_some_silent or self.is_opening_in_doubt
+
     @property
     def is_opening_in_doubt(self) -> bool:
         """Return whether new connections failed at so many instances that the cause may be here."""
-        return self.opens and _are_many(self._service_by_unopened_id)
+        return self.opens and len(self._service_by_unopened_id) >= MIN_DOUBTFUL_INSTANCES
 
     def has_heard_since(self, at: Millis) -> bool:
         """Return whether any instance has replied since a time."""
@@ -119,6 +128,7 @@
             self._record_opened()
         self.heard_at = self._silent_since = self._clock.now()
         self._service_by_failed_id.clear()
+        self._are_some_silent = False
         if self.state is not UplinkState.UP:
             self._change(UplinkState.UP)
 
@@ -136,6 +146,7 @@
         """Start the silence anew after a pause of this process, during which nothing was read."""
         self._silent_since = self._clock.now()
         self._service_by_failed_id.clear()
+        self._are_some_silent = False
 
     def check(self, silent: Iterable[Instance]) -> None:
         """Update the belief; `silent` have not replied to a request within MAX_SILENCE."""
@@ -150,8 +161,9 @@
             if service_by_id:
                 self._change(UplinkState.DOWN, silent=len(service_by_id))
             return
-        is_silent = silence >= MAX_SILENCE and _are_many(service_by_id)
-        if not is_silent:
+        is_silent = silence >= MAX_SILENCE
+        self._are_some_silent = is_silent and len(service_by_id) >= MIN_DOUBTFUL_INSTANCES
+        if not (is_silent and _are_many(service_by_id)):
             if self.state is UplinkState.SUSPECT:
                 self._change(UplinkState.UP)
             return
@@ -221,6 +233,7 @@
         if UplinkState.SUSPECT not in (before, state) or is_loss:
             self._changed_at = now
         if state is UplinkState.DOWN:
+            self._are_some_silent = False
             self._service_by_failed_id.clear()
             self._service_by_unopened_id.clear()
         self._on_change(before)
@@ -292,8 +305,8 @@
                 else self._list_silent(Millis(0), MAX_SILENCE)
             )
             uplink.check(silent)
-        is_in_doubt = uplink.state is UplinkState.UP and self._peer_lost_links
-        if uplink.state is UplinkState.SUSPECT or is_in_doubt or uplink.is_opening_in_doubt:
+        is_loss_shared = uplink.state is UplinkState.UP and self._peer_lost_links
+        if uplink.is_in_doubt or is_loss_shared:
             await self._confirm(now)
         is_lost = uplink.state is UplinkState.DOWN or not uplink.opens
         if is_lost and now >= self._next_probe_at:
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -241,16 +241,63 @@
     assert not uplink.is_opening_in_doubt
 
 
-@pytest.mark.parametrize(("count", "services"), [(MIN_SILENT_INSTANCES - 1, 3), (9, 1)])
-def test_new_connections_that_fail_at_few_instances_are_no_reason_to_probe(
+# Guards against lost links that go unnoticed as all requests need the same few instances.
+@pytest.mark.parametrize(("count", "services"), [(2, 1), (3, 1), (9, 1), (3, 3)])
+def test_new_connections_that_fail_at_few_instances_are_reason_to_probe(
     uplink, clock, count, services
 ):
     fail_new_connections(uplink, count, services)
+    uplink.record_heard()
+    assert uplink.is_opening_in_doubt
+    assert uplink.opens
+    uplink.record_probes(True)
+    assert uplink.opens
+    assert not uplink.is_opening_in_doubt
+    fail_new_connections(uplink, count, services)
+    uplink.record_probes(False)
+    assert not uplink.opens
+
+
+def test_new_connections_that_fail_at_one_instance_are_no_reason_to_probe(uplink, clock):
+    for _ in range(9):
+        fail_new_connections(uplink, 1)
     assert not uplink.is_opening_in_doubt
     uplink.record_probes(False)
     assert uplink.opens
 
 
+# Guards against lost links that go unnoticed as all requests go to one service.
+@pytest.mark.parametrize("silent", [instances(2, services=1), instances(9, services=1)])
+def test_links_are_lost_if_few_instances_are_silent_and_none_accepts_a_connection(
+    uplink, clock, silent
+):
+    clock.at += MAX_SILENCE
+    uplink.check(silent)
+    assert uplink.is_in_doubt
+    assert uplink.state is UplinkState.UP
+    uplink.record_probes(False)
+    assert uplink.state is UplinkState.DOWN
+
+
+def test_a_doubt_ends_with_a_reply_or_if_no_request_is_silent_any_more(uplink, clock):
+    silent = instances(2)
+    clock.at += MAX_SILENCE
+    uplink.check(silent)
+    uplink.check([])
+    assert not uplink.is_in_doubt
+    uplink.check(silent)
+    uplink.record_heard()
+    assert not uplink.is_in_doubt
+    uplink.check(silent)
+    assert not uplink.is_in_doubt
+
+
+def test_a_single_silent_instance_raises_no_doubt(uplink, clock):
+    clock.at += 10_000
+    uplink.check(instances(1))
+    assert not uplink.is_in_doubt
+
+
 FLEET = 195
 CUT = (Millis(1_000), Millis(11_000))
 MAX_LOSS_TIME = Millis(1_000)
