--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -47,8 +47,9 @@
 from firtrestle.settings import Settings, load_settings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from firtrestle.uplink_monitors import UplinkMonitor
 from firtrestle.uplink_reports import UplinkReports
-from firtrestle.uplinks import Uplink, UplinkMonitor, UplinkState
+from firtrestle.uplinks import Uplink, UplinkState
 
 HOUSEKEEPING_INTERVAL = Millis(500)
 SLOW_REPORTS_INTERVAL = Millis(200)
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import trio
@@ -72,6 +73,18 @@
     )
 
 
+def instances(count: int, services: int = 3) -> list[Instance]:
+    return [
+        Instance(f"i{number}", f"s{number % services}", "h", 1, "dc", 3, False, 1)
+        for number in range(count)
+    ]
+
+
+async def keep_open(stream: trio.SocketStream) -> None:
+    with suppress(trio.BrokenResourceError):
+        await stream.receive_some()
+
+
 async def call_no_peer(peer, relay, timeout):
     raise AssertionError("no peer is to be called")
 
--- a/packages/firtrestle/tests/test_crash_probes.py
+++ b/packages/firtrestle/tests/test_crash_probes.py
@@ -1,7 +1,7 @@
 """Confirming suspected crashes by probes, as distinct from lost links of this daemon."""
 
 import random
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 
 import pytest
 import trio
@@ -14,6 +14,7 @@
 from firtrestle.http_clients import RESET_LINGER
 from firtrestle.instances import Instance, Instances
 from manual_clocks import ManualClock
+from route_fakes import keep_open
 
 CRASHED = [f"i{number}" for number in range(QUARANTINE_INSTANCES)]
 OTHERS = ["i8", "i9"]
@@ -81,11 +82,6 @@
         nursery.cancel_scope.cancel()
 
 
-async def keep_open(stream: trio.SocketStream) -> None:
-    with suppress(trio.BrokenResourceError):
-        await stream.receive_some()
-
-
 async def reset_soon(stream: trio.SocketStream) -> None:
     await sleep(Millis(20))
     stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_LINGER)
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -1,14 +1,9 @@
 """Telling lost links of a daemon from instances that are slow or dead."""
 
 import random
-from collections import defaultdict
-from dataclasses import replace
 
 import pytest
-import trio
-from firtrestle.clocks import Clock, Millis, sleep
-from firtrestle.connect_probes import ConnectProber
-from firtrestle.instances import Instance
+from firtrestle.clocks import Millis
 from firtrestle.uplinks import (
     MAX_SILENCE,
     MAX_SILENCE_IF_CONNECTABLE,
@@ -17,18 +12,10 @@
     RETURN_TIME,
     TRIAL_INTERVAL,
     Uplink,
-    UplinkMonitor,
     UplinkState,
 )
 from manual_clocks import ManualClock
-from trio.testing import MockClock
-
-
-def instances(count, services=3):
-    return [
-        Instance(f"i{number}", f"s{number % services}", "h", 1, "dc", 3, False, 1)
-        for number in range(count)
-    ]
+from route_fakes import instances
 
 
 @pytest.fixture
@@ -170,48 +157,6 @@
     assert uplink.state is UplinkState.UP
 
 
-async def keep_open(stream: trio.SocketStream) -> None:
-    await stream.receive_some()
-
-
-class FakeInstances:
-    """Refuse connections on a port that nothing listens on, or accept them on another."""
-
-    def __init__(self, port):
-        self.port = port
-
-    def all(self):
-        return [replace(instance, host="127.0.0.1", port=self.port) for instance in instances(9)]
-
-
-@pytest.mark.parametrize("accepts", [True, False])
-async def test_the_loss_of_a_peer_makes_an_idle_daemon_probe_its_own_links(accepts, nursery):
-    """No request is under way, so that nothing is silent."""
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    port = listeners[0].socket.getsockname()[1]
-    if accepts:
-        nursery.start_soon(trio.serve_listeners, keep_open, listeners)
-    else:
-        await listeners[0].aclose()
-    clock = Clock()
-    uplink = Uplink(clock, random.Random(1))
-    monitor = UplinkMonitor(
-        uplink,
-        FakeInstances(port).all,
-        lambda since, duration: [],
-        clock,
-        random.Random(1),
-        ConnectProber(),
-    )
-    nursery.start_soon(monitor.run)
-    await sleep(Millis(600))
-    assert uplink.state is UplinkState.UP
-    monitor.record_loss_of_peer()
-    await sleep(Millis(300))
-    assert (uplink.state is UplinkState.UP) == accepts
-    nursery.cancel_scope.cancel()
-
-
 def fail_new_connections(uplink, count=MIN_SILENT_INSTANCES, services=3):
     for instance in instances(count, services):
         uplink.record_failure(instance, is_new=True)
@@ -296,75 +241,3 @@
     clock.at += 10_000
     uplink.check(instances(1))
     assert not uplink.is_in_doubt
-
-
-FLEET = 195
-CUT = (Millis(1_000), Millis(11_000))
-MAX_LOSS_TIME = Millis(1_000)
-MAX_RETURN_TIME = Millis(2_500)
-MAX_CONNECTS = 12  # to one instance in a second: a tenth of the connections that it takes
-
-
-class FleetProber:
-    """Accept connections except in the cut, and record when each instance accepted one."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.started_at = clock.now()
-        self.accepted = []
-
-    def is_cut(self, lasting=0.0):
-        return CUT[0] + lasting <= self.clock.now() - self.started_at < CUT[1]
-
-    async def find_accepting(self, instances):
-        await sleep(Millis(100))
-        if self.is_cut():
-            return []
-        self.accepted += [(self.clock.now(), instance.id) for instance in instances]
-        return instances
-
-    def max_connects(self):
-        """Return the most connections that one instance accepted within a second."""
-        times_by_id = defaultdict(list)
-        for at, id_ in self.accepted:
-            times_by_id[id_].append(at)
-        return max(
-            sum(at <= other < at + 1_000 for other in times)
-            for times in times_by_id.values()
-            for at in times
-        )
-
-
-# Guards against a storm of connections when a fleet loses its links, and when it has them back.
-def test_a_large_fleet_that_is_cut_off_spreads_its_probes_and_returns():
-    async def main():
-        clock = Clock()
-        prober = FleetProber(clock)
-        known = instances(189, services=63)
-        uplinks = []
-
-        def list_silent(since, duration):
-            return known[:9] if prober.is_cut(duration) else []
-
-        async def use(uplink):
-            """Get replies to requests outside the cut, as far as any are sent from here."""
-            while True:
-                await sleep(Millis(100))
-                if not prober.is_cut() and uplink.state is not UplinkState.DOWN:
-                    uplink.record_heard()
-
-        async with trio.open_nursery() as nursery:
-            for number in range(FLEET):
-                rng = random.Random(number)
-                uplinks.append(Uplink(clock, rng))
-                monitor = UplinkMonitor(uplinks[-1], lambda: known, list_silent, clock, rng, prober)
-                nursery.start_soon(monitor.run)
-                nursery.start_soon(use, uplinks[-1])
-            await sleep(Millis(CUT[0] + MAX_LOSS_TIME))
-            assert all(uplink.state is UplinkState.DOWN for uplink in uplinks)
-            await sleep(Millis(CUT[1] - CUT[0] - MAX_LOSS_TIME + MAX_RETURN_TIME))
-            assert all(uplink.is_settled for uplink in uplinks)
-            nursery.cancel_scope.cancel()
-        assert prober.max_connects() <= MAX_CONNECTS
-
-    trio.run(main, clock=MockClock(autojump_threshold=0))
