Don't count time without requests as silence of the instances

A daemon that had been idle for two seconds took its links for lost 100 ms after a wide request had been slow for 300 ms, though its instances accepted connections: the 2,000 ms for which overloaded instances may all be silent were counted from the last reply, with the time in which nothing had been asked. Its calls were then ended and its requests run by peers. Found by reading; test_time_without_requests_is_no_silence_... was red (down instead of suspect). The time now runs from when the first of the unanswered requests was sent.

--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from enum import StrEnum
@@ -61,6 +62,7 @@
         self._service_by_failed_id: dict[str, str] = {}  # failed since an instance was heard
         self._service_by_unopened_id: dict[str, str] = {}  # since a new connection has worked
         self._failing_since = Millis(0)
+        self._unanswered_since = Millis(math.inf)  # by instances that are silent or failed
         self._next_trial_at = Millis(0)
 
     @property
@@ -115,9 +117,8 @@
         """Record a reply, which proves that the links work, also new ones if it is the first."""
         if is_new:
             self._record_opened()
-        self.heard_at = self._silent_since = self._clock.now()
-        self._service_by_failed_id.clear()
-        self._are_some_silent = False
+        self.heard_at = self._clock.now()
+        self._start_silence()
         if self.state is not UplinkState.UP:
             self._change(UplinkState.UP)
 
@@ -133,9 +134,7 @@
 
     def record_pause(self) -> None:
         """Start the silence anew after a pause of this process, during which nothing was read."""
-        self._silent_since = self._clock.now()
-        self._service_by_failed_id.clear()
-        self._are_some_silent = False
+        self._start_silence()
 
     def check(self, silent: Iterable[Instance]) -> None:
         """Update the belief; `silent` have not replied to a request within MAX_SILENCE."""
@@ -145,20 +144,24 @@
         service_by_id = {instance.id: instance.service for instance in silent}
         if now - self._failing_since >= MAX_SILENCE:
             service_by_id |= self._service_by_failed_id
-        silence = self.silence()
         if self.state is UplinkState.TRIAL:
             if service_by_id:
                 self._change(UplinkState.DOWN, silent=len(service_by_id))
             return
-        is_silent = silence >= MAX_SILENCE
-        self._are_some_silent = is_silent and len(service_by_id) >= MIN_DOUBTFUL_INSTANCES
-        if not (is_silent and _are_many(service_by_id)):
+        if self.silence() < MAX_SILENCE:
+            service_by_id.clear()
+        self._are_some_silent = len(service_by_id) >= MIN_DOUBTFUL_INSTANCES
+        if not service_by_id:
+            self._unanswered_since = Millis(math.inf)
+        elif self._unanswered_since > now:
+            self._unanswered_since = Millis(now - MAX_SILENCE)
+        if not _are_many(service_by_id):
             if self.state is UplinkState.SUSPECT:
                 self._change(UplinkState.UP)
             return
         if self.state is UplinkState.UP:
             self._change(UplinkState.SUSPECT, silent=len(service_by_id))
-        elif silence >= MAX_SILENCE_IF_CONNECTABLE:
+        elif now - self._unanswered_since >= MAX_SILENCE_IF_CONNECTABLE:
             self._change(UplinkState.DOWN, silent=len(service_by_id))
 
     def record_probes(self, connected: bool) -> None:
@@ -185,6 +188,13 @@
         """Return the time since the last reply of any instance."""
         return Millis(self._clock.now() - self.heard_at)
 
+    def _start_silence(self) -> None:
+        """Forget failures and silent instances: what was asked so far proves nothing any more."""
+        self._silent_since = self._clock.now()
+        self._unanswered_since = Millis(math.inf)
+        self._service_by_failed_id.clear()
+        self._are_some_silent = False
+
     def _record_opened(self) -> None:
         self._service_by_unopened_id.clear()
         if not self.opens:
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -56,6 +56,19 @@
     assert uplink.state is UplinkState.DOWN
 
 
+# Guards against slow replies after an idle time being taken for lost links.
+def test_time_without_requests_is_no_silence_of_instances_that_accept_connections(uplink, clock):
+    clock.at += 10 * MAX_SILENCE_IF_CONNECTABLE
+    uplink.check(instances(9))
+    uplink.record_probes(True)
+    clock.at += MAX_SILENCE
+    uplink.check(instances(9))
+    assert uplink.state is UplinkState.SUSPECT
+    clock.at += MAX_SILENCE_IF_CONNECTABLE
+    uplink.check(instances(9))
+    assert uplink.state is UplinkState.DOWN
+
+
 def test_a_reply_of_any_instance_proves_the_links(uplink, clock):
     clock.at += MAX_SILENCE
     uplink.check(instances(9))
