Send the next request elsewhere after a silent instance, also if none else was heard

What callers saw: with one silent instance, a daemon whose requests go to its service one after the other sent each of them to that instance, and all failed at their deadline. Seen in the soak rig's logs of single-service callers (three requests of three to i-b0), and by test_the_next_request_goes_to_another_instance_...: red, [False, False].

Cause: since silence counts against an instance only while others are heard, it counted for nothing at all if no other request was under way. But only what is told to peers, and the limit of the load, must wait for that proof: what this daemon prefers is its own matter, and is forgotten when lost links are back. A lost race is now recorded either way.

--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -232,17 +232,21 @@
     def _record_overdue(self, state: ShardState) -> None:
         """Record as overdue a shard's attempts that are still open, and old enough, at the end.
 
-        An attempt counts only if another instance was heard meanwhile.
+        Peers are told, and the load is limited, only if another instance was heard meanwhile, as
+        this daemon may have lost its links. The next request is better sent elsewhere either way.
         """
         if not self._has_read_all_replies():
             return
         now = self._tools.clock.now()
         for attempt in state.attempts:
             waited = Millis(now - self._awaited_since(attempt))
-            is_own_fault = not self._tools.uplink.has_heard_since(attempt.sent_at)
-            if waited >= self._route.latency_target * MIN_OVERDUE_SHARE and not is_own_fault:
+            if waited < self._route.latency_target * MIN_OVERDUE_SHARE:
+                continue
+            if self._tools.uplink.has_heard_since(attempt.sent_at):
                 self._tools.slow_reports.record(attempt.replica.id)
                 attempt.replica.record_overdue(waited, now)
+            else:
+                attempt.replica.record_lost_race(waited, now)
 
     def _log_ejection(self, loser: Attempt, waited: Millis) -> None:
         logger.bind(
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -270,6 +270,26 @@
     run_with_harness(lambda instance, nth: (math.inf, good(instance)), body)
 
 
+# Guards against a silent instance being asked again and again while nothing else is asked.
+def test_the_next_request_goes_to_another_instance_than_a_silent_one():
+    fastest, silent = "s0-0", set()
+
+    async def body(harness):
+        for _ in range(10):
+            await harness.ask(plain_route())
+        assert harness.pools.sent[-1] == fastest
+        silent.add(fastest)
+        served = [isinstance((await harness.ask(plain_route()))[0], Answer) for _ in range(2)]
+        assert served == [False, True]
+        assert harness.tools.slow_reports.is_empty
+
+    def behave(instance, nth):
+        delay = 2 if instance.id == fastest else 20
+        return (math.inf if instance.id in silent else delay, good(instance))
+
+    run_with_harness(behave, body)
+
+
 def test_an_instance_that_is_silent_while_others_reply_is_reported_as_slow():
     async def body(harness):
         for _ in range(4):
