Take a peer's replies as evidence where probes can't tell lost links from a silent service

What tells is a request that succeeds elsewhere. Calls given up without a reply count as failed, so that instances asked in turn add up. The log line names the evidence.

--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -253,6 +253,9 @@
         except h11.LocalProtocolError as error:
             connection.usable = False
             call.finish(failed_reply(HttpFailure(False, f"the request can't be sent: {error}")))
+        except trio.Cancelled:
+            self._uplink.record_unanswered(self.instance, call.sent_at)
+            raise
         finally:
             self._sent_calls.remove(call)
             self._release_connection(connection, max_idle)
--- a/packages/firtrestle/firtrestle/relay_servers.py
+++ b/packages/firtrestle/firtrestle/relay_servers.py
@@ -14,7 +14,6 @@
 from firtrestle.routes import RouteTable
 from firtrestle.service_gathers import ServiceGather
 from firtrestle.service_tools import ServiceTools
-from firtrestle.uplinks import UplinkState
 
 MAX_RUNNING = 64  # requests of peers at the same time
 MAX_BUSY_SHARE = 0.8  # of the processor; beyond it, this daemon's own callers come first
@@ -89,7 +88,7 @@
         if self._state.stopping:
             return "stopping"
         uplink = self._tools.uplink
-        if not uplink.is_settled or uplink.state is UplinkState.SUSPECT:
+        if not uplink.is_settled or uplink.is_unheard:
             return "no links to the instances"
         if self.running >= MAX_RUNNING or self._load.share() > MAX_BUSY_SHARE:
             return "overloaded"
--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -84,7 +84,9 @@
                 self._is_counted,
             )
             request = replace(self._request, deadline=self._stop_at())
-            self._merge_result(await self._tools.relays.run(request, terms))
+            result = await self._tools.relays.run(request, terms)
+            self._tools.uplink.record_heard_by_peer(result.reply_by_service)
+            self._merge_result(result)
         for service in self._services:
             if service not in self.reply_by_service:
                 reasons = self.attempt_summary.reason_by_service
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -58,12 +58,13 @@
         self._rng = rng
         self._on_change = on_change
         self._changed_at = self._silent_since = self.heard_at
-        self._are_some_silent = False  # too few to suspect the links without probes
+        self._silent_services: set[str] = set()  # of enough instances for a doubt
         self._service_by_failed_id: dict[str, str] = {}  # failed since an instance was heard
         self._service_by_unopened_id: dict[str, str] = {}  # since a new connection has worked
         self._failing_since = Millis(0)
         self._unanswered_since = Millis(math.inf)  # by instances that are silent or failed
         self._next_trial_at = Millis(0)
+        self._next_comparison_at = Millis(0)
 
     @property
     def is_lost(self) -> bool:
@@ -81,8 +82,12 @@
     @property
     def is_in_doubt(self) -> bool:
         """Return whether probes are to tell lost links from instances at fault."""
-        is_suspect = self.state is UplinkState.SUSPECT
-        return is_suspect or self._are_some_silent or self.is_opening_in_doubt
+        return self.is_unheard or self.is_opening_in_doubt
+
+    @property
+    def is_unheard(self) -> bool:
+        """Return whether enough instances for a doubt are silent, and none was heard meanwhile."""
+        return self.state is UplinkState.SUSPECT or bool(self._silent_services)
 
     @property
     def is_opening_in_doubt(self) -> bool:
@@ -103,6 +108,8 @@
         if self.state is UplinkState.TRIAL:
             is_overdue = self._clock.now() - self._changed_at > MAX_TRIAL_TIME
             return is_overdue and self.wants_trial()
+        if self._wants_comparison():
+            return False
         return self._rng.random() < self._return_share()
 
     def wants_trial(self) -> bool:
@@ -113,6 +120,17 @@
         self._next_trial_at = Millis(now + TRIAL_INTERVAL)
         return True
 
+    def _wants_comparison(self) -> bool:
+        """Return whether a peer is to run the next request, one in each TRIAL_INTERVAL.
+
+        While silent instances accept connections, only a peer's requests can tell what is at fault.
+        """
+        now = self._clock.now()
+        if not self._is_long_unanswered() or now < self._next_comparison_at:
+            return False
+        self._next_comparison_at = Millis(now + TRIAL_INTERVAL)
+        return True
+
     def record_heard(self, is_new: bool = False) -> None:
         """Record a reply, which proves that the links work, also new ones if it is the first."""
         if is_new:
@@ -120,22 +138,36 @@
         self.heard_at = self._clock.now()
         self._start_silence()
         if self.state is not UplinkState.UP:
-            self._change(UplinkState.UP)
+            self._change(UplinkState.UP, "a reply")
 
     def record_failure(self, instance: Instance, is_new: bool = False) -> None:
         """Record that a connection to an instance failed; a new one, before its first reply."""
+        if is_new and self.state is not UplinkState.DOWN:
+            self._service_by_unopened_id[instance.id] = instance.service
+        self._add_failed(instance, self._clock.now())
+
+    def record_unanswered(self, instance: Instance, sent_at: Millis) -> None:
+        """Record that a call was given up; it tells nothing if an instance was heard meanwhile."""
+        is_long = self._clock.now() - sent_at >= MAX_SILENCE
+        if is_long and sent_at >= max(self.heard_at, self._changed_at):
+            self._add_failed(instance, sent_at)
+
+    def _add_failed(self, instance: Instance, since: Millis) -> None:
         if self.state is UplinkState.DOWN:
             return
-        if is_new:
-            self._service_by_unopened_id[instance.id] = instance.service
         if not self._service_by_failed_id:
-            self._failing_since = self._clock.now()
+            self._failing_since = since
         self._service_by_failed_id[instance.id] = instance.service
 
     def record_pause(self) -> None:
         """Start the silence anew after a pause of this process, during which nothing was read."""
         self._start_silence()
 
+    def record_heard_by_peer(self, services: Iterable[str]) -> None:
+        """Record replies to a peer: services that have long been silent here are not at fault."""
+        if self._is_long_unanswered() and not self._silent_services.isdisjoint(services):
+            self._change(UplinkState.DOWN, "a reply to a peer")
+
     def check(self, silent: Iterable[Instance]) -> None:
         """Update the belief; `silent` have not replied to a request within MAX_SILENCE."""
         if self.state is UplinkState.DOWN:
@@ -146,23 +178,24 @@
             service_by_id |= self._service_by_failed_id
         if self.state is UplinkState.TRIAL:
             if service_by_id:
-                self._change(UplinkState.DOWN, silent=len(service_by_id))
+                self._change(UplinkState.DOWN, "no reply", len(service_by_id))
             return
         if self.silence() < MAX_SILENCE:
             service_by_id.clear()
-        self._are_some_silent = len(service_by_id) >= MIN_DOUBTFUL_INSTANCES
+        is_doubtful = len(service_by_id) >= MIN_DOUBTFUL_INSTANCES
+        self._silent_services = set(service_by_id.values()) if is_doubtful else set()
         if not service_by_id:
             self._unanswered_since = Millis(math.inf)
         elif self._unanswered_since > now:
             self._unanswered_since = Millis(now - MAX_SILENCE)
         if not _are_many(service_by_id):
             if self.state is UplinkState.SUSPECT:
-                self._change(UplinkState.UP)
+                self._change(UplinkState.UP, "no request", len(service_by_id))
             return
         if self.state is UplinkState.UP:
-            self._change(UplinkState.SUSPECT, silent=len(service_by_id))
-        elif now - self._unanswered_since >= MAX_SILENCE_IF_CONNECTABLE:
-            self._change(UplinkState.DOWN, silent=len(service_by_id))
+            self._change(UplinkState.SUSPECT, "no reply", len(service_by_id))
+        elif self._is_long_unanswered():
+            self._change(UplinkState.DOWN, "no reply", len(service_by_id))
 
     def record_probes(self, connected: bool) -> None:
         """Record whether one of the instances probed accepted a connection.
@@ -175,10 +208,10 @@
             self._change_opens(False)
         is_silent = self.silence() >= MAX_SILENCE
         if self.state in (UplinkState.UP, UplinkState.SUSPECT) and not connected and is_silent:
-            self._change(UplinkState.DOWN)
+            self._change(UplinkState.DOWN, "probes")
         elif self.state is UplinkState.DOWN and connected:
             self._next_trial_at = self._clock.now()
-            self._change(UplinkState.TRIAL)
+            self._change(UplinkState.TRIAL, "probes")
 
     def silence(self) -> Millis:
         """Return the time in which a reply could have been read and none came."""
@@ -193,7 +226,12 @@
         self._silent_since = self._clock.now()
         self._unanswered_since = Millis(math.inf)
         self._service_by_failed_id.clear()
-        self._are_some_silent = False
+        self._silent_services = set()
+
+    def _is_long_unanswered(self) -> bool:
+        """Return whether instances in doubt have been silent for long, though they may accept."""
+        unanswered = self._clock.now() - self._unanswered_since
+        return self.is_unheard and unanswered >= MAX_SILENCE_IF_CONNECTABLE
 
     def _record_opened(self) -> None:
         self._service_by_unopened_id.clear()
@@ -215,7 +253,7 @@
             return 1.0
         return min(1.0, (self._clock.now() - self._changed_at) / RETURN_TIME)
 
-    def _change(self, state: UplinkState, silent: int = 0) -> None:
+    def _change(self, state: UplinkState, evidence: str, silent: int = 0) -> None:
         before, self.state = self.state, state
         now = self._clock.now()
         is_loss = state is UplinkState.DOWN and before is not UplinkState.TRIAL
@@ -223,6 +261,7 @@
         logger.bind(
             before=str(before),
             after=str(state),
+            evidence=evidence,
             silent_instances=silent,
             failed_instances=len(self._service_by_failed_id),
             unheard_ms=round(self.unheard_for()),
@@ -232,7 +271,7 @@
         if UplinkState.SUSPECT not in (before, state) or is_loss:
             self._changed_at = now
         if state is UplinkState.DOWN:
-            self._are_some_silent = False
+            self._silent_services = set()
             self._service_by_failed_id.clear()
             self._service_by_unopened_id.clear()
         self._on_change(before)
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -17,12 +17,13 @@
 from firtrestle.relay_servers import MAX_RUNNING, RelayServer
 from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets
-from firtrestle.uplinks import Uplink, UplinkState
+from firtrestle.uplinks import MAX_SILENCE, MAX_SILENCE_IF_CONNECTABLE, Uplink, UplinkState
 from route_fakes import (
     TERMS,
     FakePools,
     RouteHarness,
     good,
+    instances,
     lost,
     plain_route,
     record,
@@ -297,6 +298,41 @@
         for state in (UplinkState.SUSPECT, UplinkState.DOWN, UplinkState.TRIAL):
             harness.tools.uplink.state = state
             assert await refusal() == "no links to the instances"
+        harness.tools.uplink.state = UplinkState.UP
+        harness.tools.uplink.check(instances(2))
+        assert await refusal() == "no links to the instances"
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+# Guards against one service, over connections that are accepted and hang, hiding lost links.
+def test_a_request_for_a_service_that_is_long_silent_here_is_compared_by_a_peer():
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.UP)
+        uplink = cut.tools.uplink
+        silent = [instance for instance in instances(6, 3) if instance.service == "s0"]
+        await sleep(MAX_SILENCE)
+        uplink.check(silent)
+        await sleep(MAX_SILENCE_IF_CONNECTABLE)
+        answer, gather = await cut.ask(plain_route())
+        assert isinstance(answer, Answer)
+        assert (peer.asked, gather.attempt_summary.sent) == (["p1"], 1)
+        assert uplink.state is UplinkState.DOWN
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+def test_a_request_to_be_compared_runs_here_if_no_peer_takes_it():
+    async def body(harness):
+        cut, peer = cut_daemon(harness, state=UplinkState.UP)
+        peer.state.stopping = True
+        await sleep(MAX_SILENCE)
+        cut.tools.uplink.check(instances(2, 1))
+        await sleep(MAX_SILENCE_IF_CONNECTABLE)
+        answer, gather = await cut.ask(plain_route())
+        assert isinstance(answer, Answer)
+        assert (peer.asked, gather.attempt_summary.relayed_to) == (["p1"], "")
+        assert cut.tools.uplink.state is UplinkState.UP
 
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
 
--- a/packages/firtrestle/tests/test_uplinks.py
+++ b/packages/firtrestle/tests/test_uplinks.py
@@ -250,6 +250,70 @@
     assert not uplink.is_in_doubt
 
 
+def leave_unanswered(uplink, clock, count, services):
+    """Let some instances be silent for long while they accept connections."""
+    silent = instances(count, services)
+    clock.at += MAX_SILENCE
+    uplink.check(silent)
+    uplink.record_probes(True)
+    clock.at += MAX_SILENCE_IF_CONNECTABLE - MAX_SILENCE
+    uplink.check(silent)
+
+
+# Guards against one silent service hiding lost links over which connections are still accepted.
+def test_links_are_lost_if_a_peer_hears_a_service_that_has_long_been_silent_here(uplink, clock):
+    leave_unanswered(uplink, clock, 2, 1)
+    assert uplink.state is UplinkState.UP
+    assert not uplink.admits()  # a peer runs one request, to compare
+    assert uplink.admits()
+    clock.at += TRIAL_INTERVAL
+    assert not uplink.admits()
+    uplink.record_heard_by_peer({"s0": "a reply"})
+    assert uplink.state is UplinkState.DOWN
+
+
+@pytest.mark.parametrize("heard", [[], ["s7"]])
+def test_a_peer_that_does_not_hear_the_silent_service_either_proves_nothing(uplink, clock, heard):
+    leave_unanswered(uplink, clock, 2, 1)
+    uplink.record_heard_by_peer(heard)
+    assert uplink.state is UplinkState.UP
+
+
+def test_nothing_is_compared_before_a_long_silence_or_after_a_reply(uplink, clock):
+    clock.at += MAX_SILENCE
+    uplink.check(instances(2, 1))
+    assert uplink.admits()
+    uplink.record_heard_by_peer(["s0"])
+    assert uplink.state is UplinkState.UP
+    leave_unanswered(uplink, clock, 2, 1)
+    uplink.record_heard()
+    assert uplink.admits()
+    uplink.record_heard_by_peer(["s0"])
+    assert uplink.state is UplinkState.UP
+
+
+def test_calls_given_up_without_a_reply_count_as_failed(uplink, clock):
+    for instance in instances(2, 1):
+        sent_at = clock.at
+        clock.at += MAX_SILENCE
+        uplink.record_unanswered(instance, sent_at)
+    uplink.check([])
+    assert uplink.is_in_doubt
+
+
+def test_calls_given_up_early_or_sent_before_a_reply_tell_nothing(uplink, clock):
+    sent_at = clock.at
+    clock.at += MAX_SILENCE - 1
+    uplink.record_unanswered(instances(1)[0], sent_at)
+    uplink.record_heard()
+    clock.at += MAX_SILENCE
+    uplink.record_unanswered(instances(2)[1], sent_at)
+    clock.at += MAX_SILENCE
+    uplink.check([])
+    uplink.check(instances(1))
+    assert not uplink.is_in_doubt
+
+
 def test_a_single_silent_instance_raises_no_doubt(uplink, clock):
     clock.at += 10_000
     uplink.check(instances(1))
