Don't take a preempted poll for an idle event loop

A loop with tasks to run polls without a time-out. If the system preempted it there for half a millisecond, the poll counted as a wait, and the loop as idle: as if all replies had been read, so that instances could be blamed and hedged for replies that waited here. Unit test red before (idle after such a poll).

--- a/packages/firtrestle/firtrestle/loop_monitors.py
+++ b/packages/firtrestle/firtrestle/loop_monitors.py
@@ -28,8 +28,11 @@
         self._waiting_since = self._clock.now()
 
     def after_io_wait(self, timeout: float) -> None:
-        """Add the wait that has ended to the idle time."""
-        waited = Millis(self._clock.now() - self._waiting_since)
+        """Add the wait that has ended to the idle time.
+
+        A poll without a time-out doesn't wait: if it takes long, this process was preempted.
+        """
+        waited = Millis(self._clock.now() - self._waiting_since if timeout > 0 else 0)
         self._idle = Millis(self._idle + waited)
         self.was_idle = waited >= MIN_WAIT
 
--- a/packages/firtrestle/tests/test_loop_monitors.py
+++ b/packages/firtrestle/tests/test_loop_monitors.py
@@ -3,6 +3,7 @@
 import trio
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.loop_monitors import LoopMonitor
+from manual_clocks import ManualClock
 
 
 def test_time_in_tasks_counts_as_busy_and_waiting_does_not():
@@ -18,3 +19,15 @@
     waited, worked = trio.run(main)
     assert waited < 50
     assert worked - waited >= 60
+
+
+# Guards against a loop that the system preempts during a poll being taken for an idle one.
+def test_a_poll_of_a_loop_with_work_left_is_no_wait_however_long_it_takes():
+    clock = ManualClock(1_000.0)
+    monitor = LoopMonitor(clock)
+    for timeout, waited, was_idle in ((5.0, 20, True), (0.0, 20, False), (5.0, 0.1, False)):
+        monitor.before_io_wait(timeout)
+        clock.at += waited
+        monitor.after_io_wait(timeout)
+        assert monitor.was_idle is was_idle
+    assert monitor.busy_time() == 20
