--- a/review/rig.py
+++ b/review/rig.py
@@ -24,7 +24,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[1]
-HOST = "127.0.0.1"
+# A loopback address of this process, so that plays side by side don't take each other's ports.
+HOST = f"127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}.1"
 HEARTBEAT_S = 1.2
 CASE_TIMEOUT_S = 112.0
 # `run.sh` turns the second into 1: a Python program that fails to start exits with 1, too.
@@ -437,10 +438,10 @@
 class Daemon:
     """Run one daemon with the command of the deploy file and the deployed settings' template."""
 
-    def __init__(self, rig: Rig, number: int, zone: str) -> None:
+    def __init__(self, rig: Rig, number: int, zone: str, ports: list[int]) -> None:
         self.name = f"front-{zone}-{number}"
         self.zone = zone
-        self.ports = dict(zip(("front", "ready", "control"), free_ports(3), strict=True))
+        self.ports = dict(zip(("front", "ready", "control"), ports, strict=True))
         self.process: asyncio.subprocess.Process | None = None
         self._rig = rig
 
@@ -543,7 +544,10 @@
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.store = Store(record)
         self.searchers: dict[str, Searcher] = {}
-        self.daemons = [Daemon(self, n + 1, f"z{n % 3}") for n in range(daemons)]
+        ports = free_ports(3 * daemons)
+        self.daemons = [
+            Daemon(self, n + 1, f"z{n % 3}", ports[3 * n : 3 * n + 3]) for n in range(daemons)
+        ]
         self.clients: list[Client] = []
         self.arrivals: list[Arrival] = []
         self.crash_times: list[float] = []
@@ -604,7 +608,11 @@
         ends_at = time.monotonic() + 25
         while not all([await daemon.is_ready() for daemon in self.daemons]):
             if time.monotonic() > ends_at:
-                raise CannotRun("the daemons were not ready within 25 s")
+                codes = {
+                    daemon.name: daemon.process and daemon.process.returncode
+                    for daemon in self.daemons
+                }
+                raise CannotRun(f"the daemons were not ready within 25 s: {codes}")
             await asyncio.sleep(0.1)
         self.record.add("all daemons are ready")
         await asyncio.sleep(4)
