--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Send a request that crashes its searchers to a service of two, which start again."""
+"""Let the store come back from a copy, and add a service and a route to it afterwards."""
 
 from __future__ import annotations
 
@@ -6,39 +6,52 @@
 
 from rig import TROUBLE, Client, Rig, route, run_case
 
-POISON = "/a/poison"
-CRASHES = 3  # from the third on, the request is to be held off
+STORM_VERSIONS = 10  # a change each 0.33 s, as in the days of the site file
+STORM_GAP_S = 0.33
+AWAY_S = 0.5  # "for a moment"
 STABLE_S = 4.0  # stableMs
-MAX_RETRIES = 3  # that may still reach searchers
-TRIES = 12
-GAP_S = 3.0
+ROUNDS = 20
 
 
 async def case(rig: Rig) -> list[str]:
-    """Return a violation if the request reaches searchers too often after the third crash."""
+    """Return a violation if a route that was added later is served too seldom."""
     rig.services = ["a"]
     rig.routes = [route("r-a", "/a/", "a")]
     rig.publish()
-    for searcher in await rig.add_searchers("a", 2):
-        if TROUBLE:
-            searcher.crashing_paths.add(POISON)
+    await rig.add_searchers("a", 3)
     await rig.start_daemons()
+    copy = rig.store.copy()
+    for number in range(STORM_VERSIONS):
+        rig.routes[0]["timeoutMs"] = 2000 + 10 * (number % 2)
+        rig.publish()
+        await asyncio.sleep(STORM_GAP_S)
+    if TROUBLE:
+        rig.store.go_away()
+    searchers = [asyncio.ensure_future(rig.add_searchers("d", 3))]
+    await asyncio.sleep(AWAY_S)
+    if TROUBLE:
+        rig.store.come_back(copy)
+        rig.write_state()
+        for searcher in rig.searchers.values():
+            searcher.check_in()
+    await asyncio.sleep(STABLE_S + 2)
+    await searchers[0]
+    rig.services.append("d")
+    rig.routes.append(route("r-d", "/d/", "d"))
+    rig.publish()
+    await asyncio.sleep(STABLE_S)
+    served = {"/a/x": 0, "/d/x": 0}
     clients = [Client(rig, daemon) for daemon in rig.daemons]
-    for number in range(TRIES):
-        await clients[number % len(clients)].send(POISON)
-        await asyncio.sleep(GAP_S)
+    for _ in range(ROUNDS):
         for client in clients:
-            await client.send("/a/good")
-    runs = [arrival for arrival in rig.arrivals if arrival.path == POISON]
-    if len(rig.crash_times) < CRASHES:
-        return []
-    third = rig.crash_times[CRASHES - 1]
-    counted_from = third + STABLE_S
-    late = sorted({arrival.request_id for arrival in runs if arrival.at > counted_from})
-    rig.record.add(f"third crash at {third:.1f}; later retries that ran: {late}")
-    if len(late) > MAX_RETRIES:
-        return [f"BUDGET: {len(late)} retries reached searchers, {MAX_RETRIES} may"]
+            for path in served:
+                served[path] += (await client.send(path)).status == 200
+        await asyncio.sleep(0.3)
+    asked = ROUNDS * len(clients)
+    rig.record.add(f"served of {asked} each: {served}")
+    if served["/d/x"] < served["/a/x"] / 4:
+        return [f"CONFIG: of {asked} each, {served} were served; /d/ was added later"]
     return []
 
 
-run_case(case)
+run_case(case, daemons=9)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Raise the operator's limit of bodies while clients keep their connections."""
+"""Send two requests that crash their searchers, and send them again a minute later."""
 
 from __future__ import annotations
 
@@ -6,37 +6,48 @@
 
 from rig import TROUBLE, Client, Rig, route, run_case
 
-BODY = b"x" * 100_000
-OLD_LIMIT_BYTES, NEW_LIMIT_BYTES = 65_536, 262_144
-WAIT_S = 5  # longer than configApplyMs and stableMs
-CLIENTS_PER_DAEMON = 4
-FREE_DENIALS = 5
-DENIALS_PER_REQUEST = 1 / 500
+SEARCHERS_BY_SERVICE = {"a": 5, "b": 2}
+CRASHES = 3  # from the third on, a request is to be held off
+STABLE_S = 4.0  # stableMs
+MAX_RETRIES = 3  # that may still reach searchers
+FIRST_TRIES, LATER_TRIES = 5, 8
+GAP_S = 2.6
+PAUSE_S = 61.0  # in which the clients don't send them
 
 
 async def case(rig: Rig) -> list[str]:
-    """Return a violation if proper requests are refused as only the older version asks."""
-    rig.services = ["a"]
-    rig.routes = [route("r-a", "/a/", "a")]
-    if TROUBLE:
-        rig.limits["maxBodyBytes"] = OLD_LIMIT_BYTES
+    """Return a violation for each request that reaches searchers too often."""
+    rig.services = list(SEARCHERS_BY_SERVICE)
+    rig.routes = [route(f"r-{name}", f"/{name}/", name) for name in rig.services]
     rig.publish()
-    await rig.add_searchers("a", 3)
+    for service, count in SEARCHERS_BY_SERVICE.items():
+        for searcher in await rig.add_searchers(service, count):
+            if TROUBLE:
+                searcher.crashing_paths.add(f"/{service}/poison")
     await rig.start_daemons()
-    clients = [Client(rig, daemon) for daemon in rig.daemons for _ in range(CLIENTS_PER_DAEMON)]
-    answers = [await client.send("/a/small", "POST", b"x" * 100) for client in clients]
-    if TROUBLE:
-        rig.limits["maxBodyBytes"] = NEW_LIMIT_BYTES
-        rig.publish()
-    for _ in range(WAIT_S):
-        await asyncio.sleep(1)
-        answers += [await client.send("/a/small", "POST", b"x" * 100) for client in clients]
-    answers += [await client.send("/a/large", "POST", BODY) for client in clients]
-    denied = sum(300 <= answer.status < 500 for answer in answers)
-    rig.record.add(f"{denied} of {len(answers)} requests denied")
-    if denied > FREE_DENIALS + len(answers) * DENIALS_PER_REQUEST:
-        return [f"DENIED: {denied} of {len(answers)} proper requests"]
-    return []
+    clients = [Client(rig, daemon) for daemon in rig.daemons]
+    for number in range(FIRST_TRIES + LATER_TRIES):
+        if number == FIRST_TRIES:
+            await asyncio.sleep(PAUSE_S)
+        for service in rig.services:
+            await clients[number % len(clients)].send(f"/{service}/poison")
+            for client in clients:
+                await client.send(f"/{service}/good")
+        await asyncio.sleep(GAP_S)
+    return [text for service in rig.services for text in _violations(rig, f"/{service}/poison")]
+
+
+def _violations(rig: Rig, path: str) -> list[str]:
+    runs = [arrival for arrival in rig.arrivals if arrival.path == path]
+    crashes = [arrival for arrival in runs if TROUBLE]  # each run of it ends in a crash
+    if len(crashes) < CRASHES:
+        return []
+    third = crashes[CRASHES - 1].at
+    late = sorted({arrival.request_id for arrival in runs if arrival.at > third + STABLE_S})
+    rig.record.add(f"{path}: third crash at {third:.1f}; later retries that ran: {late}")
+    if len(late) <= MAX_RETRIES:
+        return []
+    return [f"BUDGET: {len(late)} retries of {path} reached searchers, {MAX_RETRIES} may"]
 
 
 run_case(case)
