--- a/review/rig.py
+++ b/review/rig.py
@@ -179,14 +179,6 @@
         summary = {name: value[name] for name in ("version", "state", "born") if name in value}
         self._record.add(f"store: {key} written at revision {self.revision} {summary}")
 
-    def remove(self, key: str) -> None:
-        """Remove a key."""
-        if self.items.pop(key, None) is None:
-            return
-        self.revision += 1
-        self._add_event({"key": key, "revision": self.revision, "tombstone": True})
-        self._record.add(f"store: {key} removed at revision {self.revision}")
-
     def copy(self) -> StoreCopy:
         """Take a copy of the contents."""
         return StoreCopy(self.revision, dict(self.items), list(self.events))
