Log what becomes of each broken reply: kept, expired, cleared, taken for lost links

The logs couldn't tell whether evidence of a crash was never kept, aged out, was cleared by a reply or was given up as lost links.

--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -19,6 +19,7 @@
 QUARANTINE_DURATION = Millis(60_000)  # lets the operator fix or withdraw the request meanwhile
 RECORD_RETENTION = Millis(600_000)  # since the stamp, which is its publisher's wall clock
 CRASH_CONFIRM_WINDOW = Millis(5_000)  # from a broken reply until its instance is found lost
+MAX_LOGGED_FINGERPRINTS = 5
 MAX_UNCONFIRMED_INSTANCES = 1_000  # instances with broken replies not yet confirmed as crashes
 
 
@@ -80,6 +81,9 @@
 
     def record_broken_reply(self, fingerprint: str, replica_id: ReplicaId) -> None:
         """Record that an instance's reply broke off before any other reply to the request came."""
+        logger.bind(fingerprint=fingerprint, instance=replica_id.target_id).info(
+            "broken reply kept"
+        )
         self._broken_by_replica.setdefault(replica_id, []).append(
             _BrokenReply(fingerprint, self._clock.now())
         )
@@ -110,8 +114,15 @@
     def discard_unconfirmed(self) -> None:
         """Forget broken replies and suspicions that lost links of this daemon explain."""
         if self._broken_by_replica or self._suspicions:
+            fingerprints = {
+                broken.fingerprint
+                for broken_replies in self._broken_by_replica.values()
+                for broken in broken_replies
+            }
             logger.bind(
-                instances=len(self._broken_by_replica), suspected=len(self._suspicions)
+                instances=len(self._broken_by_replica),
+                suspected=len(self._suspicions),
+                fingerprints=sorted(fingerprints)[:MAX_LOGGED_FINGERPRINTS],
             ).info("broken replies explained by lost links")
         self._broken_by_replica.clear()
         self._suspicions.clear()
@@ -137,6 +148,8 @@
             else:
                 del self._broken_by_replica[replica_id]
         if fingerprint in self._record_by_fingerprint:
+            crashed = len(self._record_by_fingerprint[fingerprint].crashed)
+            logger.bind(fingerprint=fingerprint, crashed=crashed).info("request cleared by a reply")
             self._publish(fingerprint, [])
 
     def expire(self) -> None:
@@ -144,6 +157,11 @@
         now = self._clock.now()
         for replica_id, broken_replies in list(self._broken_by_replica.items()):
             if all(now - broken.at > CRASH_CONFIRM_WINDOW for broken in broken_replies):
+                fingerprints = sorted({broken.fingerprint for broken in broken_replies})
+                logger.bind(
+                    instance=replica_id.target_id,
+                    fingerprints=fingerprints[:MAX_LOGGED_FINGERPRINTS],
+                ).info("broken replies expired")
                 del self._broken_by_replica[replica_id]
         self._suspicions = [s for s in self._suspicions if now - s.at <= CRASH_CONFIRM_WINDOW]
         for key, item in self._items.with_prefix(CRASH_PREFIX).items():
