--- a/packages/firtrestle/firtrestle/crash_probes.py
+++ b/packages/firtrestle/firtrestle/crash_probes.py
@@ -12,7 +12,7 @@
 from firtrestle.instances import Instances
 
 CHECK_INTERVAL = Millis(300)
-MAX_SUSPECTS = 4  # probed at once
+MAX_SUSPECTS = 12  # probed at once
 MAX_OTHERS = 4  # probed beside them, to show whether this daemon's links work
 
 
@@ -61,6 +61,6 @@
                 instance=instance.id, reachable=is_reachable, others_reachable=are_links_up
             ).info("suspected crash probed")
             if is_reachable:
-                self._crashes.withdraw_suspicion(instance.replica_id)
+                self._crashes.record_reached(instance.replica_id)
             elif are_links_up:
-                self._crashes.confirm_crash(instance.replica_id)
+                self._crashes.record_unreachable(instance.replica_id)
--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from loguru import logger
@@ -18,24 +18,32 @@
 QUARANTINE_INSTANCES = 3  # crashed instances; the platform allows three retries after the third
 QUARANTINE_DURATION = Millis(60_000)  # lets the operator fix or withdraw the request meanwhile
 RECORD_RETENTION = Millis(600_000)  # since the stamp, which is its publisher's wall clock
-CRASH_CONFIRM_WINDOW = Millis(5_000)  # from a broken reply until its instance is found lost
-MAX_LOGGED_FINGERPRINTS = 5
-MAX_UNCONFIRMED_INSTANCES = 1_000  # instances with broken replies not yet confirmed as crashes
+# From a broken reply until its instance is found lost. An entry of a crashed instance expires after
+# some heartbeats, and is kept for a while longer if many expire at once.
+EVIDENCE_RETENTION = Millis(15_000)
+PROBE_TIME = Millis(5_000)  # from a broken reply, in which its instance is probed
+# Of the instances on which a request broke off. If most of them live on, the cause is elsewhere.
+MIN_LOST_SHARE = 0.5
+MAX_CASES = 500  # requests with broken replies; the oldest is dropped
+MAX_LOST_INSTANCES = 1_000  # remembered for replies that are found broken after the loss
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _BrokenReply:
-    fingerprint: str
     at: Millis
+    is_reached: bool = False  # a probe has reached the instance since
+
 
+@dataclass(slots=True)
+class _Case:
+    """Hold the instances on which a request broke off, and which of them were found lost since."""
 
-@dataclass(frozen=True, slots=True)
-class _Suspicion:
-    """Represent an instance that could not be reached after it broke off replies."""
+    broken_by_replica: dict[ReplicaId, _BrokenReply] = field(default_factory=dict)
+    lost: set[ReplicaId] = field(default_factory=set)
 
-    replica_id: ReplicaId
-    broken_replies: list[_BrokenReply]
-    at: Millis
+    def is_conclusive(self) -> bool:
+        """Return whether most of the instances are lost."""
+        return len(self.lost) >= MIN_LOST_SHARE * len(self.broken_by_replica)
 
 
 @dataclass(slots=True)
@@ -53,17 +61,17 @@
 class CrashRecords:
     """Record which instances crashed while they ran a request that no instance has answered.
 
-    A broken reply counts as a crash only if its instance is found unreachable, removed or restarted
-    soon after. An unreachable instance is only suspected until probes confirm it, as it may be this
-    daemon that has lost its links. A single complete reply clears the request's record, here and at
-    all peers.
+    A broken reply is evidence only, whatever this daemon believes of its own links: it counts as a
+    crash once its instance is lost, by the registry or by probes that reach others, and if most of
+    the instances on which the request broke off are lost. A single complete reply clears the
+    request's record, here and at all peers.
     """
 
     def __init__(self, items: GossipMap, clock: Clock) -> None:
         self._items = items
         self._clock = clock
-        self._broken_by_replica: OrderedDict[ReplicaId, list[_BrokenReply]] = OrderedDict()
-        self._suspicions: list[_Suspicion] = []
+        self._case_by_fingerprint: OrderedDict[str, _Case] = OrderedDict()
+        self._lost_at_by_replica: OrderedDict[ReplicaId, Millis] = OrderedDict()
         self._record_by_fingerprint: dict[str, _Record] = {}
         items.add_validator(CRASH_PREFIX, self._is_current)
         items.add_listener(CRASH_PREFIX, self._on_item)
@@ -71,7 +79,7 @@
     @property
     def is_empty(self) -> bool:
         """Return whether nothing is recorded, so that requests need no check."""
-        return not (self._broken_by_replica or self._suspicions or self._record_by_fingerprint)
+        return not (self._case_by_fingerprint or self._record_by_fingerprint)
 
     def time_left(self, fingerprint: str) -> Millis | None:
         """Return the rest of a request's quarantine, None if it is not quarantined."""
@@ -81,112 +89,100 @@
 
     def record_broken_reply(self, fingerprint: str, replica_id: ReplicaId) -> None:
         """Record that an instance's reply broke off before any other reply to the request came."""
-        logger.bind(fingerprint=fingerprint, instance=replica_id.target_id).info(
-            "broken reply kept"
-        )
-        self._broken_by_replica.setdefault(replica_id, []).append(
-            _BrokenReply(fingerprint, self._clock.now())
-        )
-        if len(self._broken_by_replica) > MAX_UNCONFIRMED_INSTANCES:
-            self._broken_by_replica.popitem(last=False)
+        case = self._case_by_fingerprint.setdefault(fingerprint, _Case())
+        case.broken_by_replica[replica_id] = _BrokenReply(self._clock.now())
+        is_lost = replica_id in self._lost_at_by_replica
+        logger.bind(
+            fingerprint=fingerprint,
+            instance=replica_id.target_id,
+            born=replica_id.searcher,
+            others=len(case.broken_by_replica) - 1,
+            lost=is_lost,
+        ).info("broken reply kept")
+        if is_lost:
+            self._record_loss(fingerprint, case, replica_id, "registry")
+        if len(self._case_by_fingerprint) > MAX_CASES:
+            dropped, _ = self._case_by_fingerprint.popitem(last=False)
+            logger.bind(fingerprint=dropped).info("broken replies dropped, too many requests")
+
+    def suspected(self) -> set[ReplicaId]:
+        """Return the instances to probe, on which requests broke off a short time ago."""
+        oldest = self._clock.now() - PROBE_TIME
+        return {
+            replica_id
+            for case in self._case_by_fingerprint.values()
+            for replica_id, broken in case.broken_by_replica.items()
+            if broken.at >= oldest and not broken.is_reached and replica_id not in case.lost
+        }
 
     def record_unreachable(self, replica_id: ReplicaId) -> None:
-        """Suspect that an instance that broke off replies and is unreachable has crashed."""
-        broken_replies = self._broken_by_replica.pop(replica_id, None)
-        if broken_replies:
-            suspicion = _Suspicion(replica_id, broken_replies, self._clock.now())
-            self._suspicions.append(suspicion)
+        """Count the crash of an instance that probes did not reach, while they reached others."""
+        self._record_losses(replica_id, self._clock.now() - PROBE_TIME, "probe")
 
-    def suspected(self) -> set[ReplicaId]:
-        """Return the instances that are suspected to have crashed."""
-        return {suspicion.replica_id for suspicion in self._suspicions}
-
-    def confirm_crash(self, replica_id: ReplicaId) -> None:
-        """Count the crash of a suspected instance."""
-        for suspicion in self._take_suspicions(replica_id):
-            self._record_crashes(replica_id, suspicion.broken_replies, suspicion.at)
-
-    def withdraw_suspicion(self, replica_id: ReplicaId) -> None:
-        """Keep only the broken replies of an instance that is reachable, in case it restarted."""
-        for suspicion in self._take_suspicions(replica_id):
-            self._broken_by_replica.setdefault(replica_id, []).extend(suspicion.broken_replies)
-
-    def discard_unconfirmed(self) -> None:
-        """Forget broken replies and suspicions that lost links of this daemon explain."""
-        if self._broken_by_replica or self._suspicions:
-            fingerprints = {
-                broken.fingerprint
-                for broken_replies in self._broken_by_replica.values()
-                for broken in broken_replies
-            }
-            logger.bind(
-                instances=len(self._broken_by_replica),
-                suspected=len(self._suspicions),
-                fingerprints=sorted(fingerprints)[:MAX_LOGGED_FINGERPRINTS],
-            ).info("broken replies explained by lost links")
-        self._broken_by_replica.clear()
-        self._suspicions.clear()
+    def record_reached(self, replica_id: ReplicaId) -> None:
+        """Stop probing an instance that a probe reached; the registry may yet show a restart."""
+        for case in self._case_by_fingerprint.values():
+            if replica_id in case.broken_by_replica:
+                case.broken_by_replica[replica_id].is_reached = True
 
     def record_instance_lost(self, replica_id: ReplicaId) -> None:
         """Count the recent broken replies of an instance that was removed or restarted."""
-        broken_replies = self._broken_by_replica.pop(replica_id, [])
-        for suspicion in self._take_suspicions(replica_id):
-            broken_replies += suspicion.broken_replies
-        self._record_crashes(replica_id, broken_replies, self._clock.now())
+        now = self._clock.now()
+        self._lost_at_by_replica[replica_id] = now
+        if len(self._lost_at_by_replica) > MAX_LOST_INSTANCES:
+            self._lost_at_by_replica.popitem(last=False)
+        self._record_losses(replica_id, Millis(now - EVIDENCE_RETENTION), "registry")
 
     def record_success(self, fingerprint: str) -> None:
         """Clear a request that an instance answered."""
-        self._suspicions = [
-            replace(suspicion, broken_replies=kept)
-            for suspicion in self._suspicions
-            if (kept := _without(fingerprint, suspicion.broken_replies))
-        ]
-        for replica_id, broken_replies in list(self._broken_by_replica.items()):
-            kept = _without(fingerprint, broken_replies)
-            if kept:
-                self._broken_by_replica[replica_id] = kept
-            else:
-                del self._broken_by_replica[replica_id]
+        self._case_by_fingerprint.pop(fingerprint, None)
         if fingerprint in self._record_by_fingerprint:
             crashed = len(self._record_by_fingerprint[fingerprint].crashed)
             logger.bind(fingerprint=fingerprint, crashed=crashed).info("request cleared by a reply")
             self._publish(fingerprint, [])
 
     def expire(self) -> None:
-        """Remove unconfirmed broken replies and records that have expired."""
-        now = self._clock.now()
-        for replica_id, broken_replies in list(self._broken_by_replica.items()):
-            if all(now - broken.at > CRASH_CONFIRM_WINDOW for broken in broken_replies):
-                fingerprints = sorted({broken.fingerprint for broken in broken_replies})
+        """Remove evidence and records that have expired."""
+        oldest = self._clock.now() - EVIDENCE_RETENTION
+        for fingerprint, case in list(self._case_by_fingerprint.items()):
+            if all(broken.at < oldest for broken in case.broken_by_replica.values()):
+                del self._case_by_fingerprint[fingerprint]
                 logger.bind(
-                    instance=replica_id.target_id,
-                    fingerprints=fingerprints[:MAX_LOGGED_FINGERPRINTS],
+                    fingerprint=fingerprint,
+                    instances=len(case.broken_by_replica),
+                    lost=len(case.lost),
                 ).info("broken replies expired")
-                del self._broken_by_replica[replica_id]
-        self._suspicions = [s for s in self._suspicions if now - s.at <= CRASH_CONFIRM_WINDOW]
+        while self._lost_at_by_replica and next(iter(self._lost_at_by_replica.values())) < oldest:
+            self._lost_at_by_replica.popitem(last=False)
         for key, item in self._items.with_prefix(CRASH_PREFIX).items():
             if self._clock.wall() - item.stamp > RECORD_RETENTION:
                 self._items.remove(key)
                 self._record_by_fingerprint.pop(key.removeprefix(CRASH_PREFIX), None)
 
-    def _take_suspicions(self, replica_id: ReplicaId) -> list[_Suspicion]:
-        taken = [s for s in self._suspicions if s.replica_id == replica_id]
-        self._suspicions = [s for s in self._suspicions if s.replica_id != replica_id]
-        return taken
+    def _record_losses(self, replica_id: ReplicaId, oldest: Millis, evidence: str) -> None:
+        for fingerprint, case in self._case_by_fingerprint.items():
+            broken = case.broken_by_replica.get(replica_id)
+            if broken is not None and broken.at >= oldest and replica_id not in case.lost:
+                self._record_loss(fingerprint, case, replica_id, evidence)
 
-    def _record_crashes(
-        self, replica_id: ReplicaId, broken_replies: list[_BrokenReply], lost_at: Millis
+    def _record_loss(
+        self, fingerprint: str, case: _Case, replica_id: ReplicaId, evidence: str
     ) -> None:
-        for broken in broken_replies:
-            if lost_at - broken.at <= CRASH_CONFIRM_WINDOW:
-                self._record_crash(broken.fingerprint, replica_id.target_id)
-
-    def _record_crash(self, fingerprint: str, target_id: str) -> None:
+        case.lost.add(replica_id)
         record = self._record_by_fingerprint.get(fingerprint, _Record())
-        bound = logger.bind(fingerprint=fingerprint, instance=target_id, before=len(record.crashed))
-        bound.info("an instance crashed while it ran a request")
-        if target_id not in record.crashed:
-            self._publish(fingerprint, sorted(record.crashed | {target_id}))
+        logger.bind(
+            fingerprint=fingerprint,
+            instance=replica_id.target_id,
+            born=replica_id.searcher,
+            evidence=evidence,
+            age_ms=round(self._clock.now() - case.broken_by_replica[replica_id].at),
+            lost=len(case.lost),
+            broken=len(case.broken_by_replica),
+            before=len(record.crashed),
+        ).info("an instance crashed while it ran a request")
+        crashed = {lost.target_id for lost in case.lost}
+        if case.is_conclusive() and not crashed <= record.crashed:
+            self._publish(fingerprint, sorted(record.crashed | crashed))
 
     def _publish(self, fingerprint: str, crashed: list[str]) -> None:
         """Send a record to all daemons; an empty one clears the request."""
@@ -217,7 +213,3 @@
             isinstance(instance_id, str) for instance_id in value
         )
         return is_list and self._clock.wall() - stamp <= RECORD_RETENTION
-
-
-def _without(fingerprint: str, broken_replies: list[_BrokenReply]) -> list[_BrokenReply]:
-    return [broken for broken in broken_replies if broken.fingerprint != fingerprint]
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -62,11 +62,14 @@
         on_gone: Callable[[set[ReplicaId]], None],
         departures: Departures,
         on_draining: Callable[[Instance], None] = lambda instance: None,
+        on_lost: Callable[[ReplicaId], None] = lambda replica_id: None,
     ) -> None:
+        """Prepare; `on_lost` is called for instances that ended without having announced it."""
         self._clock = clock
         self._on_gone = on_gone
         self._departures = departures
         self._on_draining = on_draining
+        self._on_lost = on_lost
         self._record_by_id: dict[str, _Record] = {}
         self._removed_revision_by_id: dict[str, int] = {}
         self._by_service: dict[str, tuple[Instance, ...]] | None = None
@@ -90,7 +93,7 @@
                 revision=revision,
             ).info("instance registered")
         if before is not None and before.instance.born != instance.born:
-            self._on_gone({before.instance.replica_id})
+            self._end(before.instance)
         if instance.draining and (before is None or not before.instance.draining):
             self._on_draining(instance)
         return True
@@ -211,5 +214,10 @@
     def _drop(self, instance_id: str, revision: int) -> None:
         record = self._record_by_id.pop(instance_id)
         self._by_service = None
-        self._on_gone({record.instance.replica_id})
+        self._end(record.instance)
         logger.bind(instance=instance_id, revision=revision).info("instance removed")
+
+    def _end(self, instance: Instance) -> None:
+        if not (instance.draining or self._departures.is_leaving(instance.replica_id)):
+            self._on_lost(instance.replica_id)
+        self._on_gone({instance.replica_id})
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -121,15 +121,19 @@
             Millis(settings.routes.instance_drain_ms),
             self._on_departure,
         )
+        self._crashes = CrashRecords(self.items, clock)
         self.instances = Instances(
-            clock, self._remove_replicas, self._departures, self._withdraw_waiting
+            clock,
+            self._remove_replicas,
+            self._departures,
+            self._withdraw_waiting,
+            self._crashes.record_instance_lost,
         )
         prober = ConnectProber(settings.daemon.source_address)
         self._uplink_monitor = UplinkMonitor(
             self._uplink, self.instances.all, self._pools.silent, clock, rng, prober
         )
         self._budgets = self._build_budgets()
-        self._crashes = CrashRecords(self.items, clock)
         self._crash_probes = CrashProbes(self._crashes, self.instances, prober, rng)
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
@@ -249,7 +253,6 @@
 
     def _on_uplink_change(self, before: UplinkState) -> None:
         if self._uplink.state is UplinkState.DOWN:
-            self._crashes.discard_unconfirmed()
             self._pools.abandon("this daemon's links to the instances are lost")
         elif (
             self._uplink.state is UplinkState.UP
@@ -448,8 +451,6 @@
             self._pools.refuse_waiting(instance.replica_id, LEAVING)
 
     def _remove_replicas(self, replica_ids: set[ReplicaId]) -> None:
-        for replica_id in replica_ids:
-            self._crashes.record_instance_lost(replica_id)
         self._replicas.remove(replica_ids)
         self._pools.remove(replica_ids)
 
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -274,13 +274,7 @@
             self._tools.instances.bar(attempt.replica.id)
         if not reply.reached:
             state.unreached += 1
-            if outcome is SubOutcome.UNREACHABLE:
-                self._tools.crashes.record_unreachable(attempt.replica.id)
-        elif (
-            outcome is SubOutcome.DIED
-            and not self._parts.reply_by_service
-            and not self._tools.uplink.is_lost
-        ):
+        elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
             self._tools.crashes.record_broken_reply(self._request.fingerprint, attempt.replica.id)
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.attempt_summary.last_failure = reply
--- a/packages/firtrestle/tests/test_crash_probes.py
+++ b/packages/firtrestle/tests/test_crash_probes.py
@@ -43,12 +43,11 @@
 
 @pytest.fixture
 def crashes(clock, instances):
-    """Return records of a request that broke off on some instances, which were unreachable then."""
+    """Return records of a request that broke off on some instances."""
     records = CrashRecords(GossipMap(), clock)
     for instance in instances.all():
         if instance.id in CRASHED:
             records.record_broken_reply("f", instance.replica_id)
-            records.record_unreachable(instance.replica_id)
     return records
 
 
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -3,8 +3,8 @@
 import random
 
 from firtrestle.crash_records import (
-    CRASH_CONFIRM_WINDOW,
     CRASH_PREFIX,
+    EVIDENCE_RETENTION,
     QUARANTINE_DURATION,
     RECORD_RETENTION,
     CrashRecords,
@@ -70,7 +70,7 @@
     clock, first, _ = pair()
     for name in ("i1", "i2", "i3", "i4"):
         first.records.record_broken_reply("f", replica(name))
-    clock.at += CRASH_CONFIRM_WINDOW + 1
+    clock.at += EVIDENCE_RETENTION + 1
     for name in ("i1", "i2", "i3", "i4"):
         first.records.record_instance_lost(replica(name))
     assert first.records.time_left("f") is None
@@ -131,24 +131,36 @@
 
 
 # Guards against lost links of a daemon being taken for crashes, which quarantines good requests.
-def test_suspected_crashes_that_lost_links_explain_are_forgotten():
-    _, first, second = pair()
+def test_broken_replies_of_instances_that_live_on_are_forgotten():
+    clock, first, second = pair()
     for name in ("i1", "i2", "i3", "i4"):
         first.records.record_broken_reply("f", replica(name))
-        first.records.record_unreachable(replica(name))
     second.sync(first)
     assert first.records.time_left("f") is None
     assert second.records.time_left("f") is None
-    first.records.discard_unconfirmed()
+    clock.at += EVIDENCE_RETENTION + 1
+    first.records.expire()
     assert first.records.is_empty
 
 
+# Guards against ordinary restarts after lost links of a daemon being taken for crashes.
+def test_restarts_of_a_few_of_the_instances_on_which_a_request_broke_off_are_no_crashes():
+    _, first, _ = pair()
+    names = [f"i{number}" for number in range(8)]
+    for name in names:
+        first.records.record_broken_reply("f", replica(name))
+    for name in names[:3]:
+        first.records.record_instance_lost(replica(name))
+    assert first.records.time_left("f") is None
+    first.records.record_instance_lost(replica(names[3]))
+    assert first.records.time_left("f") == QUARANTINE_DURATION
+
+
 def test_an_instance_that_is_reached_again_has_crashed_only_if_it_was_restarted():
     _, first, _ = pair()
     for name in ("i1", "i2", "i3"):
         first.records.record_broken_reply("f", replica(name))
-        first.records.record_unreachable(replica(name))
-        first.records.withdraw_suspicion(replica(name))
+        first.records.record_reached(replica(name))
     assert not first.records.suspected()
     assert first.records.time_left("f") is None
     for name in ("i1", "i2", "i3"):
@@ -156,14 +168,23 @@
     assert first.records.time_left("f") == QUARANTINE_DURATION
 
 
+# Guards against a daemon that wakes from a pause and reads the registry before the broken replies.
+def test_a_reply_that_is_found_broken_after_its_instance_was_lost_is_a_crash():
+    clock, first, _ = pair()
+    for name in ("i1", "i2", "i3"):
+        first.records.record_instance_lost(replica(name))
+        clock.at += 100
+        first.records.record_broken_reply("f", replica(name))
+    assert first.records.time_left("f") == QUARANTINE_DURATION
+
+
 def test_the_success_of_another_request_leaves_a_suspected_crash_as_it_is():
     _, first, _ = pair()
     for name in ("i1", "i2", "i3"):
         for fingerprint in ("poison", "innocent"):
             first.records.record_broken_reply(fingerprint, replica(name))
-        first.records.record_unreachable(replica(name))
     first.records.record_success("innocent")
     for replica_id in first.records.suspected():
-        first.records.confirm_crash(replica_id)
+        first.records.record_unreachable(replica_id)
     assert first.records.time_left("poison") == QUARANTINE_DURATION
     assert first.records.time_left("innocent") is None
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -107,3 +107,19 @@
     assert instances.serving("s") == ()
     instances.put(instance(), 6)
     assert instances.serving("s") == (instance(),)
+
+
+# Guards against a planned exit, which may break replies off, counting as a crash.
+def test_only_ends_that_were_not_announced_are_losses():
+    lost = []
+    clock = ManualClock()
+    departures = Departures(GossipMap(), clock, Millis(3_000))
+    instances = Instances(clock, lambda ids: None, departures, on_lost=lost.append)
+    for name in ("removed", "draining", "leaving"):
+        instances.put(instance(name, draining=name == "draining"), 1)
+    departures.record(instance("leaving"), "r", 200)
+    for name in ("removed", "draining", "leaving"):
+        instances.remove(name, 2)
+    instances.put(instance("restarted", born=1), 3)
+    instances.put(instance("restarted", born=2), 4)
+    assert lost == [instance("removed").replica_id, instance("restarted").replica_id]
