--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -31,6 +31,7 @@
 @dataclass(slots=True)
 class _BrokenReply:
     at: Millis
+    was_heard: bool  # the instance had replied before, so that it was alive
     is_reached: bool = False  # a probe has reached the instance since
 
 
@@ -87,15 +88,18 @@
         left = record.quarantined_until - self._clock.now() if record is not None else 0.0
         return Millis(left) if left > 0 else None
 
-    def record_broken_reply(self, fingerprint: str, replica_id: ReplicaId) -> None:
+    def record_broken_reply(
+        self, fingerprint: str, replica_id: ReplicaId, was_heard: bool = True
+    ) -> None:
         """Record that an instance's reply broke off before any other reply to the request came."""
         case = self._case_by_fingerprint.setdefault(fingerprint, _Case())
-        case.broken_by_replica[replica_id] = _BrokenReply(self._clock.now())
+        case.broken_by_replica[replica_id] = _BrokenReply(self._clock.now(), was_heard)
         is_lost = replica_id in self._lost_at_by_replica
         logger.bind(
             fingerprint=fingerprint,
             instance=replica_id.target_id,
             born=replica_id.searcher,
+            was_heard=was_heard,
             others=len(case.broken_by_replica) - 1,
             lost=is_lost,
         ).info("broken reply kept")
@@ -116,8 +120,13 @@
         }
 
     def record_unreachable(self, replica_id: ReplicaId) -> None:
-        """Count the crash of an instance that probes did not reach, while they reached others."""
-        self._record_losses(replica_id, self._clock.now() - PROBE_TIME, "probe")
+        """Count the crash of an instance that probes did not reach, while they reached others.
+
+        One that had never replied may have been dead before: connections to it may be accepted and
+        dropped in between.
+        """
+        oldest = Millis(self._clock.now() - PROBE_TIME)
+        self._record_losses(replica_id, oldest, "probe", only_heard=True)
 
     def record_reached(self, replica_id: ReplicaId) -> None:
         """Stop probing an instance that a probe reached; the registry may yet show a restart."""
@@ -159,10 +168,14 @@
                 self._items.remove(key)
                 self._record_by_fingerprint.pop(key.removeprefix(CRASH_PREFIX), None)
 
-    def _record_losses(self, replica_id: ReplicaId, oldest: Millis, evidence: str) -> None:
+    def _record_losses(
+        self, replica_id: ReplicaId, oldest: Millis, evidence: str, only_heard: bool = False
+    ) -> None:
         for fingerprint, case in self._case_by_fingerprint.items():
             broken = case.broken_by_replica.get(replica_id)
-            if broken is not None and broken.at >= oldest and replica_id not in case.lost:
+            if broken is None or broken.at < oldest or replica_id in case.lost:
+                continue
+            if broken.was_heard or not only_heard:
                 self._record_loss(fingerprint, case, replica_id, evidence)
 
     def _record_loss(
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -238,7 +238,7 @@
             if isinstance(reply, HttpFailure) and not isinstance(reply, ReplyOverBounds):
                 self._uplink.record_failure(self.instance, call.opened_connection)
             else:
-                self._uplink.record_heard(call.opened_connection)
+                self._uplink.record_heard(call.opened_connection, self.instance)
             if isinstance(reply, ReplyOverBounds):
                 self._log_over_bounds(message, reply)
             if isinstance(reply, HttpFailure):
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -14,10 +14,10 @@
 from firtrestle.base_daemons import STOP_POLL_INTERVAL, BaseDaemon
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after, sleep
 from firtrestle.connect_probes import ConnectProber
-from firtrestle.crash_probes import CrashProbes
 from firtrestle.crash_records import CrashRecords
 from firtrestle.departures import Departures
 from firtrestle.events import EventKind
+from firtrestle.fault_probes import FaultProbes
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import LEAVING, PAUSED, InstancePools, PoolTools
 from firtrestle.instance_replies import CallerMessage, InstanceReply
@@ -129,12 +129,17 @@
             self._withdraw_waiting,
             self._crashes.record_instance_lost,
         )
-        prober = ConnectProber(settings.daemon.source_address)
+        self._fault_probes = FaultProbes(
+            self._uplink,
+            self._crashes,
+            self.instances.all,
+            ConnectProber(settings.daemon.source_address),
+            rng,
+        )
         self._uplink_monitor = UplinkMonitor(
-            self._uplink, self.instances.all, self._pools.silent, clock, rng, prober
+            self._uplink, self._fault_probes, self._pools.silent, clock, rng
         )
         self._budgets = self._build_budgets()
-        self._crash_probes = CrashProbes(self._crashes, self.instances, prober, rng)
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
@@ -219,7 +224,7 @@
         start(self._members.run)
         start(self._pause_guard.run)
         start(self._uplink_monitor.run)
-        start(self._crash_probes.run)
+        start(self._fault_probes.run)
         start(self._source.run)
         start(self._reader_role.run)
         start(self._run_housekeeping)
@@ -453,6 +458,7 @@
     def _remove_replicas(self, replica_ids: set[ReplicaId]) -> None:
         self._replicas.remove(replica_ids)
         self._pools.remove(replica_ids)
+        self._uplink.forget(replica_ids)
 
     async def _serve_peer(self, value: Any) -> Any:
         match value:
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -275,7 +275,10 @@
         if not reply.reached:
             state.unreached += 1
         elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
-            self._tools.crashes.record_broken_reply(self._request.fingerprint, attempt.replica.id)
+            was_heard = self._tools.uplink.has_heard(attempt.replica.id)
+            self._tools.crashes.record_broken_reply(
+                self._request.fingerprint, attempt.replica.id, was_heard
+            )
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.attempt_summary.last_failure = reply
         if state.attempts:
--- a/packages/firtrestle/firtrestle/uplink_monitors.py
+++ b/packages/firtrestle/firtrestle/uplink_monitors.py
@@ -7,13 +7,12 @@
 from collections.abc import Callable
 
 from firtrestle.clocks import Clock, Millis, sleep
-from firtrestle.connect_probes import ConnectProber
+from firtrestle.fault_probes import FaultProbes
 from firtrestle.instances import Instance
 from firtrestle.uplinks import MAX_SILENCE, Uplink, UplinkState
 
 CHECK_INTERVAL = Millis(100)
 MAX_CHECK_GAP = Millis(300)  # beyond it, this process was paused and may have unread replies
-PROBES_AT_ONCE = 4  # to settle a doubt
 MIN_CONFIRM_INTERVAL = Millis(1_000)  # between such probes, while instances accept connections
 MIN_PROBE_INTERVAL = Millis(250)
 MAX_PROBE_INTERVAL = Millis(1_000)
@@ -21,7 +20,6 @@
 PROBE_JITTER = (0.75, 1.25)  # spreads the return of many daemons
 MAX_TRIAL_SILENCE = Millis(1_000)
 
-ListInstances = Callable[[], list[Instance]]
 # Lists those with a call that was sent since a time and is unanswered for a duration.
 ListSilent = Callable[[Millis, Millis], list[Instance]]
 
@@ -32,18 +30,16 @@
     def __init__(
         self,
         uplink: Uplink,
-        list_instances: ListInstances,
+        probes: FaultProbes,
         list_silent: ListSilent,
         clock: Clock,
         rng: random.Random,
-        prober: ConnectProber,
     ) -> None:
         self._uplink = uplink
-        self._list_instances = list_instances
+        self._probes = probes
         self._list_silent = list_silent
         self._clock = clock
         self._rng = rng
-        self._prober = prober
         self._probe_interval = MIN_PROBE_INTERVAL
         self._next_probe_at = Millis(0)
         self._losses_probed = 0
@@ -94,8 +90,7 @@
             return
         self._confirmed_at = now
         self._peer_lost_links = False
-        if self._list_instances():
-            self._uplink.record_probes(await self._probe(PROBES_AT_ONCE))
+        await self._probes.probe()
 
     async def _probe_for_return(self, now: Millis) -> None:
         losses = self._uplink.losses + self._uplink.opening_losses
@@ -107,12 +102,6 @@
             self._probe_interval = Millis(min(MAX_PROBE_INTERVAL, longer))
         interval = self._probe_interval * self._rng.uniform(*PROBE_JITTER)
         self._next_probe_at = Millis(now + interval)
-        if await self._probe(1):
+        if await self._probes.reaches_one():
             self._trial_since = self._clock.now()
             self._uplink.record_probes(True)
-
-    async def _probe(self, count: int) -> bool:
-        """Return whether one of some random instances accepts a connection."""
-        instances = self._list_instances()
-        chosen = self._rng.sample(instances, min(count, len(instances)))
-        return bool(await self._prober.find_accepting(chosen))
--- a/packages/firtrestle/firtrestle/uplinks.py
+++ b/packages/firtrestle/firtrestle/uplinks.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 
@@ -11,6 +13,7 @@
 
 from firtrestle.clocks import Clock, Millis
 from firtrestle.instances import Instance
+from firtrestle.snapshots import ReplicaId
 
 MAX_SILENCE = Millis(300)  # a healthy instance's pause is shorter
 # While instances accept connections. Overloaded ones may all be silent for shorter times.
@@ -22,6 +25,7 @@
 TRIAL_INTERVAL = Millis(300)  # between requests that try links that may be back
 # From when whole requests are tried, if no request came of which a part could be sent twice.
 MAX_TRIAL_TIME = Millis(3_000)
+RECENTLY_HEARD = 64  # instances that have replied last
 RETURN_TIME = Millis(1_000)  # over which the share of requests sent over a restored link grows
 
 
@@ -40,7 +44,8 @@
     A single instance's silence tells nothing of the daemon's own links. That of a few may be their
     own fault, or all that shows of lost links while requests need no others: probes tell. When all
     instances that were asked are silent, and several services among them, the common cause is most
-    likely here. Any reply proves the opposite.
+    likely here. Any reply proves the opposite. An instance that can't be reached while others can
+    is dead, and tells nothing of the links.
     """
 
     def __init__(
@@ -59,8 +64,11 @@
         self._on_change = on_change
         self._changed_at = self._silent_since = self.heard_at
         self._silent_services: set[str] = set()  # of enough instances for a doubt
-        self._service_by_failed_id: dict[str, str] = {}  # failed since an instance was heard
-        self._service_by_unopened_id: dict[str, str] = {}  # since a new connection has worked
+        self._service_by_failed_id: dict[ReplicaId, str] = {}  # failed since an instance was heard
+        self._service_by_unopened_id: dict[ReplicaId, str] = {}  # since a new connection has worked
+        self._silent_ids: set[ReplicaId] = set()
+        self._dead_ids: set[ReplicaId] = set()  # not reached while others were
+        self._heard_ids: OrderedDict[ReplicaId, None] = OrderedDict()  # the last at the end
         self._failing_since = Millis(0)
         self._unanswered_since = Millis(math.inf)  # by instances that are silent or failed
         self._next_trial_at = Millis(0)
@@ -94,6 +102,23 @@
         """Return whether new connections failed at so many instances that the cause may be here."""
         return self.opens and len(self._service_by_unopened_id) >= MIN_DOUBTFUL_INSTANCES
 
+    @property
+    def failing_ids(self) -> set[ReplicaId]:
+        """Return the instances that are silent or failed, unless they are known to be dead."""
+        return (
+            self._silent_ids
+            | self._service_by_failed_id.keys()
+            | self._service_by_unopened_id.keys()
+        )
+
+    def recently_heard_ids(self) -> set[ReplicaId]:
+        """Return the instances that have replied last."""
+        return set(itertools.islice(reversed(self._heard_ids), RECENTLY_HEARD))
+
+    def has_heard(self, replica_id: ReplicaId) -> bool:
+        """Return whether an instance has ever replied."""
+        return replica_id in self._heard_ids
+
     def has_heard_since(self, at: Millis) -> bool:
         """Return whether any instance has replied since a time."""
         return self.heard_at > at
@@ -131,10 +156,12 @@
         self._next_comparison_at = Millis(now + TRIAL_INTERVAL)
         return True
 
-    def record_heard(self, is_new: bool = False) -> None:
+    def record_heard(self, is_new: bool = False, instance: Instance | None = None) -> None:
         """Record a reply, which proves that the links work, also new ones if it is the first."""
         if is_new:
             self._record_opened()
+        if instance is not None:
+            self._record_alive(instance.replica_id)
         self.heard_at = self._clock.now()
         self._start_silence()
         if self.state is not UplinkState.UP:
@@ -142,8 +169,9 @@
 
     def record_failure(self, instance: Instance, is_new: bool = False) -> None:
         """Record that a connection to an instance failed; a new one, before its first reply."""
-        if is_new and self.state is not UplinkState.DOWN:
-            self._service_by_unopened_id[instance.id] = instance.service
+        is_dead = instance.replica_id in self._dead_ids
+        if is_new and not is_dead and self.state is not UplinkState.DOWN:
+            self._service_by_unopened_id[instance.replica_id] = instance.service
         self._add_failed(instance, self._clock.now())
 
     def record_unanswered(self, instance: Instance, sent_at: Millis) -> None:
@@ -153,11 +181,11 @@
             self._add_failed(instance, sent_at)
 
     def _add_failed(self, instance: Instance, since: Millis) -> None:
-        if self.state is UplinkState.DOWN:
+        if self.state is UplinkState.DOWN or instance.replica_id in self._dead_ids:
             return
         if not self._service_by_failed_id:
             self._failing_since = since
-        self._service_by_failed_id[instance.id] = instance.service
+        self._service_by_failed_id[instance.replica_id] = instance.service
 
     def record_pause(self) -> None:
         """Start the silence anew after a pause of this process, during which nothing was read."""
@@ -173,7 +201,12 @@
         if self.state is UplinkState.DOWN:
             return
         now = self._clock.now()
-        service_by_id = {instance.id: instance.service for instance in silent}
+        service_by_id = {
+            instance.replica_id: instance.service
+            for instance in silent
+            if instance.replica_id not in self._dead_ids
+        }
+        self._silent_ids = set(service_by_id)
         if now - self._failing_since >= MAX_SILENCE:
             service_by_id |= self._service_by_failed_id
         if self.state is UplinkState.TRIAL:
@@ -197,11 +230,14 @@
         elif self._is_long_unanswered():
             self._change(UplinkState.DOWN, "no reply", len(service_by_id))
 
-    def record_probes(self, connected: bool) -> None:
+    def record_probes(self, connected: bool, dead: Iterable[Instance] = ()) -> None:
         """Record whether one of the instances probed accepted a connection.
 
-        A reply that came while they were probed counts more.
+        A reply that came while they were probed counts more. `dead` are those that accepted none
+        while others did.
         """
+        for instance in dead:
+            self._record_dead(instance)
         if connected:
             self._record_opened()
         elif self.is_opening_in_doubt:
@@ -213,6 +249,31 @@
             self._next_trial_at = self._clock.now()
             self._change(UplinkState.TRIAL, "probes")
 
+    def _record_dead(self, instance: Instance) -> None:
+        replica_id = instance.replica_id
+        if replica_id not in self._dead_ids:
+            logger.bind(instance=instance.id, service=instance.service, born=instance.born).info(
+                "instance unreachable while others are reached"
+            )
+        self._dead_ids.add(replica_id)
+        self._silent_ids.discard(replica_id)
+        self._service_by_failed_id.pop(replica_id, None)
+        self._service_by_unopened_id.pop(replica_id, None)
+
+    def _record_alive(self, replica_id: ReplicaId) -> None:
+        self._dead_ids.discard(replica_id)
+        self._heard_ids[replica_id] = None
+        self._heard_ids.move_to_end(replica_id)
+
+    def forget(self, replica_ids: set[ReplicaId]) -> None:
+        """Forget instances that are gone."""
+        self._dead_ids -= replica_ids
+        self._silent_ids -= replica_ids
+        for replica_id in replica_ids:
+            self._heard_ids.pop(replica_id, None)
+            self._service_by_failed_id.pop(replica_id, None)
+            self._service_by_unopened_id.pop(replica_id, None)
+
     def silence(self) -> Millis:
         """Return the time in which a reply could have been read and none came."""
         return Millis(self._clock.now() - self._silent_since)
@@ -227,6 +288,7 @@
         self._unanswered_since = Millis(math.inf)
         self._service_by_failed_id.clear()
         self._silent_services = set()
+        self._silent_ids.clear()
 
     def _is_long_unanswered(self) -> bool:
         """Return whether instances in doubt have been silent for long, though they may accept."""
@@ -272,12 +334,14 @@
             self._changed_at = now
         if state is UplinkState.DOWN:
             self._silent_services = set()
+            self._silent_ids.clear()
+            self._dead_ids.clear()
             self._service_by_failed_id.clear()
             self._service_by_unopened_id.clear()
         self._on_change(before)
 
 
-def _are_many(service_by_id: dict[str, str]) -> bool:
+def _are_many(service_by_id: dict[ReplicaId, str]) -> bool:
     """Return whether failures of these instances rather have a common cause than causes there."""
     services = set(service_by_id.values())
     return len(service_by_id) >= MIN_SILENT_INSTANCES and len(services) >= MIN_SILENT_SERVICES
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -114,7 +114,7 @@
             await sleep(Millis(min(delay, 3_600_000)))
             time.sleep(self.work_ms / MILLIS_PER_SECOND)
             if reply.status:
-                self.uplink.record_heard()
+                self.uplink.record_heard(instance=instance)
             call.finish(reply)
 
 
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from firtrestle.crash_records import (
     CRASH_PREFIX,
     EVIDENCE_RETENTION,
@@ -188,3 +189,16 @@
         first.records.record_unreachable(replica_id)
     assert first.records.time_left("poison") == QUARANTINE_DURATION
     assert first.records.time_left("innocent") is None
+
+
+# Guards against instances that were dead before being taken for crashed by the next request.
+@pytest.mark.parametrize("was_heard", [True, False])
+def test_an_unreachable_instance_has_crashed_only_if_it_had_replied_or_was_restarted(was_heard):
+    _, first, _ = pair()
+    for name in ("i1", "i2", "i3"):
+        first.records.record_broken_reply("f", replica(name), was_heard)
+        first.records.record_unreachable(replica(name))
+    assert (first.records.time_left("f") is not None) == was_heard
+    for name in ("i1", "i2", "i3"):
+        first.records.record_instance_lost(replica(name))
+    assert first.records.time_left("f") == QUARANTINE_DURATION
--- a/packages/firtrestle/tests/test_load_patterns.py
+++ b/packages/firtrestle/tests/test_load_patterns.py
@@ -4,14 +4,16 @@
 from collections import Counter
 from dataclasses import replace
 
+import pytest
 import trio
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
-from firtrestle.crash_probes import CrashProbes
 from firtrestle.crash_records import message_fingerprint
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.fault_probes import FaultProbes
 from firtrestle.instance_replies import CallerMessage
 from firtrestle.replica_subsets import FleetSize
+from firtrestle.snapshots import ReplicaId
 from route_fakes import (
     good,
     lost,
@@ -248,10 +250,12 @@
     )
 
 
-def test_a_request_that_crashes_its_searchers_is_quarantined_and_others_are_not():
+@pytest.mark.parametrize("were_heard", [True, False])
+def test_a_request_that_crashes_its_searchers_is_quarantined_and_others_are_not(were_heard):
     """Each instance that gets the request drops the connection and becomes unreachable.
 
     The instances of another service accept connections: else this daemon's links may be lost.
+    Of instances that had never replied, only the registry tells that they were alive.
     """
 
     class Prober:
@@ -260,15 +264,21 @@
 
     async def body(harness):
         tools = harness.tools
-        probes = CrashProbes(tools.crashes, tools.instances, Prober(), tools.rng)
+        probes = FaultProbes(tools.uplink, tools.crashes, tools.instances.all, Prober(), tools.rng)
         route = plain_route(repeatable=True)
+        for instance in tools.instances.all() if were_heard else []:
+            tools.uplink.record_heard(instance=instance)
         for _ in range(3):
             await harness.ask(route, target="/p/poison")
             await sleep(Millis(50))
             await harness.ask(route, target="/p/innocent")
             await harness.ask(route, services=("s1",), target="/p/other")
-            await probes.check()
+            await probes.probe()
         message = CallerMessage("r", "GET", "/p/poison", "h", (), b"")
+        if not were_heard:
+            assert harness.tools.crashes.time_left(message_fingerprint(message)) is None
+            for id_ in crashed:
+                harness.tools.crashes.record_instance_lost(ReplicaId(id_, "1"))
         assert harness.tools.crashes.time_left(message_fingerprint(message)) is not None
         innocent = replace(message, target="/p/innocent")
         assert harness.tools.crashes.time_left(message_fingerprint(innocent)) is None
--- a/packages/firtrestle/tests/test_uplink_monitors.py
+++ b/packages/firtrestle/tests/test_uplink_monitors.py
@@ -8,6 +8,9 @@
 import trio
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.connect_probes import ConnectProber
+from firtrestle.crash_records import CrashRecords
+from firtrestle.fault_probes import FaultProbes
+from firtrestle.gossip_maps import GossipMap
 from firtrestle.uplink_monitors import UplinkMonitor
 from firtrestle.uplinks import Uplink, UplinkState
 from route_fakes import instances, keep_open
@@ -24,6 +27,11 @@
         return [replace(instance, host="127.0.0.1", port=self.port) for instance in instances(9)]
 
 
+def build_probes(uplink, list_instances, prober, clock, seed):
+    crashes = CrashRecords(GossipMap(), clock)
+    return FaultProbes(uplink, crashes, list_instances, prober, random.Random(seed))
+
+
 @pytest.mark.parametrize("accepts", [True, False])
 async def test_the_loss_of_a_peer_makes_an_idle_daemon_probe_its_own_links(accepts, nursery):
     """No request is under way, so that nothing is silent."""
@@ -35,14 +43,8 @@
         await listeners[0].aclose()
     clock = Clock()
     uplink = Uplink(clock, random.Random(1))
-    monitor = UplinkMonitor(
-        uplink,
-        FakeInstances(port).all,
-        lambda since, duration: [],
-        clock,
-        random.Random(1),
-        ConnectProber(),
-    )
+    probes = build_probes(uplink, FakeInstances(port).all, ConnectProber(), clock, 1)
+    monitor = UplinkMonitor(uplink, probes, lambda since, duration: [], clock, random.Random(1))
     nursery.start_soon(monitor.run)
     await sleep(Millis(600))
     assert uplink.state is UplinkState.UP
@@ -111,7 +113,8 @@
             for number in range(FLEET):
                 rng = random.Random(number)
                 uplinks.append(Uplink(clock, rng))
-                monitor = UplinkMonitor(uplinks[-1], lambda: known, list_silent, clock, rng, prober)
+                probes = build_probes(uplinks[-1], lambda: known, prober, clock, number)
+                monitor = UplinkMonitor(uplinks[-1], probes, list_silent, clock, rng)
                 nursery.start_soon(monitor.run)
                 nursery.start_soon(use, uplinks[-1])
             await sleep(Millis(CUT[0] + MAX_LOSS_TIME))
