--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,16 +16,21 @@
 from firtrestle.snapshots import ReplicaId
 
 CRASH_PREFIX = "crash/"
+TRIAL_MARK = " trial "
 QUARANTINE_INSTANCES = 3  # crashed instances; the platform allows three retries after the third
 QUARANTINE_DURATION = Millis(60_000)  # lets the operator fix or withdraw the request meanwhile
+MAX_QUARANTINE_DURATION = Millis(300_000)  # doubled by each trial up to this
+TRIAL_STAGGER = Millis(1_000)  # between the times from which two daemons may try a request again
 RECORD_RETENTION = Millis(600_000)  # since the stamp, which is its publisher's wall clock
 # From a broken reply until its instance is found lost. An entry of a crashed instance expires after
 # some heartbeats, and is kept for a while longer if many expire at once.
 EVIDENCE_RETENTION = Millis(15_000)
+MIN_SUSPECT_REPLIES = 2  # broken off, without a reply of any instance
 PROBE_TIME = Millis(5_000)  # from a broken reply, in which its instance is probed
 # Of the instances on which a request broke off. If most of them live on, the cause is elsewhere.
 MIN_LOST_SHARE = 0.5
 MAX_CASES = 500  # requests with broken replies; the oldest is dropped
+MAX_RECORDED_CRASHES = 8  # of a request
 MAX_LOST_INSTANCES = 1_000  # remembered for replies that are found broken after the loss
 
 
@@ -46,12 +52,40 @@
         """Return whether most of the instances are lost."""
         return len(self.lost) >= MIN_LOST_SHARE * len(self.broken_by_replica)
 
+    def remove_before(self, oldest: Millis) -> int:
+        """Remove the broken replies from before a time; return their number."""
+        expired = [id_ for id_, broken in self.broken_by_replica.items() if broken.at < oldest]
+        for replica_id in expired:
+            del self.broken_by_replica[replica_id]
+            self.lost.discard(replica_id)
+        return len(expired)
+
 
 @dataclass(slots=True)
 class _Record:
-    crashed: set[str] = field(default_factory=set)
+    """Hold what all daemons know of a request: a mark for each crashed lifetime and each trial."""
+
+    marks: set[str] = field(default_factory=set)
+    trials: int = 0  # that this daemon's quarantine allows for
     quarantined_until: Millis = Millis(0)
 
+    def crashes(self) -> int:
+        """Count crashed lifetimes; earlier builds name an instance without its lifetime."""
+        lifetimes = {mark for mark in self.marks if " " in mark[1:] and not _is_trial(mark)}
+        instances = {mark.partition(" ")[0] for mark in lifetimes}
+        return len(lifetimes) + sum(
+            " " not in mark and mark not in instances for mark in self.marks
+        )
+
+
+def _lifetime_mark(replica_id: ReplicaId) -> str:
+    """Return the mark of a lifetime, which no id can be, as ids contain no spaces."""
+    return f"{replica_id.target_id} {replica_id.searcher}"
+
+
+def _is_trial(mark: str) -> bool:
+    return mark.startswith(TRIAL_MARK)
+
 
 def message_fingerprint(message: CallerMessage) -> str:
     """Return a hash of the request that is the same for all callers and resends."""
@@ -66,11 +100,21 @@
     crash once its instance is lost, by the registry or by probes that reach others, and if most of
     the instances on which the request broke off are lost. A single complete reply clears the
     request's record, here and at all peers.
+
+    After its quarantine a request is tried once by one daemon, which renews the quarantine at all
+    others first, for twice as long.
     """
 
-    def __init__(self, items: GossipMap, clock: Clock) -> None:
+    def __init__(
+        self,
+        items: GossipMap,
+        clock: Clock,
+        own_rank: Callable[[str], int] = lambda fingerprint: 0,
+    ) -> None:
+        """Prepare; `own_rank` gives this daemon's place in the order in which all may try."""
         self._items = items
         self._clock = clock
+        self._own_rank = own_rank
         self._case_by_fingerprint: OrderedDict[str, _Case] = OrderedDict()
         self._lost_at_by_replica: OrderedDict[ReplicaId, Millis] = OrderedDict()
         self._record_by_fingerprint: dict[str, _Record] = {}
@@ -88,6 +132,30 @@
         left = record.quarantined_until - self._clock.now() if record is not None else 0.0
         return Millis(left) if left > 0 else None
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request crashed an instance, or broke off on several."""
+        case = self._case_by_fingerprint.get(fingerprint)
+        if case is not None and len(case.broken_by_replica) >= MIN_SUSPECT_REPLIES:
+            return True
+        return fingerprint in self._record_by_fingerprint
+
+    def begin_trial(self, fingerprint: str) -> bool:
+        """Renew the quarantine of a request that is due for a trial; return whether it is."""
+        record = self._record_by_fingerprint.get(fingerprint)
+        if record is None or not record.quarantined_until or self.time_left(fingerprint):
+            return False
+        logger.bind(fingerprint=fingerprint, trial=record.trials + 1).info(
+            "request tried again after its quarantine"
+        )
+        self._publish(fingerprint, record.marks | {f"{TRIAL_MARK}{record.trials + 1}"})
+        return True
+
+    def quarantined(self) -> int:
+        """Return the number of requests in quarantine."""
+        now = self._clock.now()
+        records = self._record_by_fingerprint.values()
+        return sum(record.quarantined_until > now for record in records)
+
     def record_broken_reply(
         self, fingerprint: str, replica_id: ReplicaId, was_heard: bool = True
     ) -> None:
@@ -146,21 +214,21 @@
         """Clear a request that an instance answered."""
         self._case_by_fingerprint.pop(fingerprint, None)
         if fingerprint in self._record_by_fingerprint:
-            crashed = len(self._record_by_fingerprint[fingerprint].crashed)
-            logger.bind(fingerprint=fingerprint, crashed=crashed).info("request cleared by a reply")
-            self._publish(fingerprint, [])
+            crashes = self._record_by_fingerprint[fingerprint].crashes()
+            logger.bind(fingerprint=fingerprint, crashes=crashes).info("request cleared by a reply")
+            self._publish(fingerprint, set())
 
     def expire(self) -> None:
         """Remove evidence and records that have expired."""
         oldest = self._clock.now() - EVIDENCE_RETENTION
         for fingerprint, case in list(self._case_by_fingerprint.items()):
-            if all(broken.at < oldest for broken in case.broken_by_replica.values()):
+            expired = case.remove_before(Millis(oldest))
+            if expired:
+                logger.bind(fingerprint=fingerprint, instances=expired, lost=len(case.lost)).info(
+                    "broken replies expired"
+                )
+            if not case.broken_by_replica:
                 del self._case_by_fingerprint[fingerprint]
-                logger.bind(
-                    fingerprint=fingerprint,
-                    instances=len(case.broken_by_replica),
-                    lost=len(case.lost),
-                ).info("broken replies expired")
         while self._lost_at_by_replica and next(iter(self._lost_at_by_replica.values())) < oldest:
             self._lost_at_by_replica.popitem(last=False)
         for key, item in self._items.with_prefix(CRASH_PREFIX).items():
@@ -191,35 +259,51 @@
             age_ms=round(self._clock.now() - case.broken_by_replica[replica_id].at),
             lost=len(case.lost),
             broken=len(case.broken_by_replica),
-            before=len(record.crashed),
+            before=record.crashes(),
         ).info("an instance crashed while it ran a request")
-        crashed = {lost.target_id for lost in case.lost}
-        if case.is_conclusive() and not crashed <= record.crashed:
-            self._publish(fingerprint, sorted(record.crashed | crashed))
+        new = sorted({_lifetime_mark(lost) for lost in case.lost} - record.marks)
+        new = new[: MAX_RECORDED_CRASHES - record.crashes()]
+        if case.is_conclusive() and new:
+            self._publish(fingerprint, record.marks.union(new))
 
-    def _publish(self, fingerprint: str, crashed: list[str]) -> None:
+    def _publish(self, fingerprint: str, marks: set[str]) -> None:
         """Send a record to all daemons; an empty one clears the request."""
         key = CRASH_PREFIX + fingerprint
         known = self._items.by_key.get(key)
         stamp = round(self._clock.wall())
-        self._items.put(key, max(stamp, known.stamp + 1) if known is not None else stamp, crashed)
+        stamp = max(stamp, known.stamp + 1) if known is not None else stamp
+        self._items.put(key, stamp, sorted(marks))
 
     def _on_item(self, key: str, item: Item) -> None:
-        """Merge a published record into the local one; publish again if it lacked known crashes."""
+        """Merge a published record into the local one; publish again if it lacked known marks."""
         fingerprint = key.removeprefix(CRASH_PREFIX)
         if not item.value:
             self._record_by_fingerprint.pop(fingerprint, None)
+            self._case_by_fingerprint.pop(fingerprint, None)
             return
         record = self._record_by_fingerprint.setdefault(fingerprint, _Record())
-        missing = record.crashed - set(item.value)
-        record.crashed |= set(item.value)
-        if len(record.crashed) >= QUARANTINE_INSTANCES and not record.quarantined_until:
-            record.quarantined_until = Millis(self._clock.now() + QUARANTINE_DURATION)
-            logger.bind(fingerprint=fingerprint, instances=sorted(record.crashed)).warning(
-                "request held off: it crashes instances"
-            )
+        missing = record.marks - set(item.value)
+        record.marks |= set(item.value)
+        self._update_quarantine(fingerprint, record)
         if missing:
-            self._publish(fingerprint, sorted(record.crashed))
+            self._publish(fingerprint, record.marks)
+
+    def _update_quarantine(self, fingerprint: str, record: _Record) -> None:
+        """Start the quarantine after enough crashes, and renew it with each trial of any daemon."""
+        trials = sum(map(_is_trial, record.marks))
+        is_new = not record.quarantined_until
+        if record.crashes() < QUARANTINE_INSTANCES or not (is_new or trials > record.trials):
+            return
+        record.trials = trials
+        duration = min(MAX_QUARANTINE_DURATION, QUARANTINE_DURATION * 2**trials)
+        duration += self._own_rank(fingerprint) * TRIAL_STAGGER
+        record.quarantined_until = Millis(self._clock.now() + duration)
+        logger.bind(
+            fingerprint=fingerprint,
+            instances=sorted(mark for mark in record.marks if not _is_trial(mark)),
+            trials=trials,
+            for_ms=round(duration),
+        ).warning("request held off: it crashes instances")
 
     def _is_current(self, key: str, stamp: int, value: Any) -> bool:
         is_list = isinstance(value, list) and all(
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -37,6 +37,7 @@
 from firtrestle.registry_readers import ReaderRole, RegistryProgress
 from firtrestle.relay_servers import RelayServer
 from firtrestle.relays import Relays
+from firtrestle.rendezvous import rank
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import FleetSize, ReplicaSubsets
 from firtrestle.replicas import Replicas
@@ -121,7 +122,7 @@
             Millis(settings.routes.instance_drain_ms),
             self._on_departure,
         )
-        self._crashes = CrashRecords(self.items, clock)
+        self._crashes = CrashRecords(self.items, clock, self._rank_in_fleet)
         self.instances = Instances(
             clock,
             self._remove_replicas,
@@ -271,6 +272,11 @@
         if self.instances.get(replica_id) is not None:
             self._replicas.get(replica_id).reported_slow_until = until
 
+    def _rank_in_fleet(self, key: str) -> int:
+        """Return this daemon's place among the live ones, in an order that depends on a key."""
+        own_id = self.settings.daemon.id
+        return rank(key, {own_id, *self._members.live_ids()}).index(own_id)
+
     def _update_fleet_size(self) -> None:
         """Count every known daemon, dead ones too.
 
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -134,12 +134,14 @@
     def _quarantine_refusal(self, routed: RoutedRequest) -> Refused | None:
         """Return the refusal of a request quarantined for crashing instances, None for others."""
         crashes = self._tools.crashes
-        quarantine_left = None if crashes.is_empty else crashes.time_left(routed.fingerprint)
+        if crashes.is_empty:
+            return None
+        fingerprint = routed.fingerprint
+        quarantine_left = crashes.time_left(fingerprint)
         if quarantine_left is None:
+            crashes.begin_trial(fingerprint)
             return None
-        return Refused(
-            ErrorKind.QUARANTINED, detail=routed.fingerprint, retry_after=quarantine_left
-        )
+        return Refused(ErrorKind.QUARANTINED, detail=fingerprint, retry_after=quarantine_left)
 
     def _report_answer(
         self, request_id: str, routed: RoutedRequest, gather: ServiceGather, answer: Answer
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -6,8 +6,11 @@
 from firtrestle.crash_records import (
     CRASH_PREFIX,
     EVIDENCE_RETENTION,
+    MAX_QUARANTINE_DURATION,
+    MAX_RECORDED_CRASHES,
     QUARANTINE_DURATION,
     RECORD_RETENTION,
+    TRIAL_STAGGER,
     CrashRecords,
 )
 from firtrestle.gossip_maps import Gossiper, GossipMap
@@ -19,10 +22,10 @@
 
 
 class Daemon:
-    def __init__(self, clock) -> None:
+    def __init__(self, clock, rank=0) -> None:
         self.items = GossipMap()
         self.gossiper = Gossiper(self.items, 3, random.Random(1), clock)
-        self.records = CrashRecords(self.items, clock)
+        self.records = CrashRecords(self.items, clock, lambda fingerprint: rank)
 
     def crash(self, fingerprint, *names):
         for name in names:
@@ -37,8 +40,8 @@
             self.items.put_rows(other.gossiper.serve_pull(repair).items)
 
 
-def replica(name):
-    return ReplicaId(name, "1")
+def replica(name, born="1"):
+    return ReplicaId(name, born)
 
 
 def pair():
@@ -85,6 +88,71 @@
     assert first.records.time_left("f") is None
 
 
+# Guards against an instance that starts again under its id counting as one crash, however often.
+def test_each_lifetime_of_an_instance_counts():
+    _, first, second = pair()
+    for born in ("1", "2"):
+        first.records.record_broken_reply("f", replica("i1", born))
+        first.records.record_instance_lost(replica("i1", born))
+    second.crash("f", "i2")
+    second.sync(first)
+    assert second.records.time_left("f") == QUARANTINE_DURATION
+
+
+def test_an_instance_named_without_its_lifetime_by_an_earlier_build_counts_once():
+    clock, first, _ = pair()
+    first.crash("f", "i1")
+    first.items.put(CRASH_PREFIX + "f", round(clock.wall()) + 1, ["i1", "i2"])
+    assert first.records.time_left("f") is None
+    first.items.put(CRASH_PREFIX + "f", round(clock.wall()) + 9, ["i1", "i2", "i3"])
+    assert first.records.time_left("f") == QUARANTINE_DURATION
+
+
+# Guards against a quarantine that ends once and for all while the request still comes.
+def test_a_request_is_tried_by_one_daemon_after_its_quarantine_and_held_off_again_by_all():
+    clock = ManualClock(1_000_000.0)
+    first, second = Daemon(clock), Daemon(clock, rank=1)
+    first.crash("f", "i1", "i2", "i3")
+    second.sync(first)
+    for trial in range(1, 6):
+        assert not first.records.begin_trial("f")
+        clock.at += first.records.time_left("f")
+        assert first.records.time_left("f") is None
+        assert second.records.time_left("f") == TRIAL_STAGGER
+        assert first.records.begin_trial("f")
+        assert first.records.is_suspect("f")
+        second.sync(first)
+        held = min(MAX_QUARANTINE_DURATION, QUARANTINE_DURATION * 2**trial)
+        assert first.records.time_left("f") == held
+        assert second.records.time_left("f") == held + TRIAL_STAGGER
+
+
+def test_a_trial_that_is_answered_ends_the_quarantine_at_all_daemons():
+    clock, first, second = pair()
+    first.crash("f", "i1", "i2", "i3")
+    second.sync(first)
+    clock.at += QUARANTINE_DURATION
+    assert second.records.begin_trial("f")
+    second.records.record_success("f")
+    first.sync(second)
+    assert not first.records.is_suspect("f")
+    assert not first.records.begin_trial("f")
+
+
+def test_a_daemon_that_starts_learns_from_its_peers_which_requests_are_held_off():
+    clock, first, _ = pair()
+    first.crash("f", "i1", "i2", "i3")
+    started = Daemon(clock)
+    started.sync(first)
+    assert started.records.time_left("f") == QUARANTINE_DURATION
+
+
+def test_a_record_stays_small_however_many_instances_crash():
+    _, first, _ = pair()
+    first.crash("f", *(f"i{number}" for number in range(100)))
+    assert len(first.items.by_key[CRASH_PREFIX + "f"].value) == MAX_RECORDED_CRASHES
+
+
 def test_one_answer_clears_the_request_at_all_daemons():
     clock, first, second = pair()
     first.crash("f", "i1", "i2", "i3")
