--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -16,6 +16,8 @@
 from firtrestle.snapshots import ReplicaId
 
 CRASH_PREFIX = "crash/"
+# Marks that no instance has, as ids contain no spaces.
+SUSPECT_MARK = " suspect"
 TRIAL_MARK = " trial "
 QUARANTINE_INSTANCES = 3  # crashed instances; the platform allows three retries after the third
 QUARANTINE_DURATION = Millis(60_000)  # lets the operator fix or withdraw the request meanwhile
@@ -63,7 +65,7 @@
 
 @dataclass(slots=True)
 class _Record:
-    """Hold what all daemons know of a request: a mark for each crashed lifetime and each trial."""
+    """Hold what all daemons know of a request: marks of crashed lifetimes, trials, suspicion."""
 
     marks: set[str] = field(default_factory=set)
     trials: int = 0  # that this daemon's quarantine allows for
@@ -71,15 +73,16 @@
 
     def crashes(self) -> int:
         """Count crashed lifetimes; earlier builds name an instance without its lifetime."""
-        lifetimes = {mark for mark in self.marks if " " in mark[1:] and not _is_trial(mark)}
-        instances = {mark.partition(" ")[0] for mark in lifetimes}
-        return len(lifetimes) + sum(
-            " " not in mark and mark not in instances for mark in self.marks
-        )
+        crashed = self.crashed()
+        instances = {mark.partition(" ")[0] for mark in crashed if " " in mark}
+        return sum(" " in mark or mark not in instances for mark in crashed)
+
+    def crashed(self) -> list[str]:
+        """Return the marks of crashed lifetimes."""
+        return sorted(mark for mark in self.marks if not mark.startswith(" "))
 
 
 def _lifetime_mark(replica_id: ReplicaId) -> str:
-    """Return the mark of a lifetime, which no id can be, as ids contain no spaces."""
     return f"{replica_id.target_id} {replica_id.searcher}"
 
 
@@ -139,6 +142,13 @@
             return True
         return fingerprint in self._record_by_fingerprint
 
+    def spread_suspicion(self, fingerprint: str) -> None:
+        """Tell all daemons of a request that broke off, and broke off again as it was repeated."""
+        record = self._record_by_fingerprint.get(fingerprint, _Record())
+        if not record.marks:
+            logger.bind(fingerprint=fingerprint).info("request suspected to crash instances")
+            self._publish(fingerprint, {SUSPECT_MARK})
+
     def begin_trial(self, fingerprint: str) -> bool:
         """Renew the quarantine of a request that is due for a trial; return whether it is."""
         record = self._record_by_fingerprint.get(fingerprint)
@@ -300,7 +310,7 @@
         record.quarantined_until = Millis(self._clock.now() + duration)
         logger.bind(
             fingerprint=fingerprint,
-            instances=sorted(mark for mark in record.marks if not _is_trial(mark)),
+            instances=record.crashed(),
             trials=trials,
             for_ms=round(duration),
         ).warning("request held off: it crashes instances")
--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -30,7 +30,9 @@
             await super().collect()
             if not uplink.is_lost and not any(map(self._is_left_to_peers, self._services)):
                 return
-        may_be_sent_twice = self._route.repeatable and self._route.max_attempts > 1
+        may_be_sent_twice = (
+            self._route.repeatable and self._route.max_attempts > 1 and not self._is_suspect
+        )
         trial = self._send_trial() if may_be_sent_twice and uplink.wants_trial() else None
         try:
             await self._relay_missing()
@@ -119,14 +121,14 @@
 
     def _may_relay(self, service: str) -> bool:
         """Return whether a peer may run a service; if that repeats an attempt, spend a repeat."""
-        if service in self.reply_by_service:
+        if service in self.reply_by_service or self._is_given_up:
             return False
         if not self._tools.uplink.is_lost and self._is_counted:
             return self._is_left_to_peers(service)
         tried = self._tried_by_service.get(service, 0)
         if not tried:
             return True
-        if not self._route.repeatable or tried >= self._route.max_attempts:
+        if not self._route.repeatable or tried >= self._route.max_attempts or self._is_suspect:
             return False
         return service == self._paid_service or self._spend_for(service)
 
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -4,6 +4,7 @@
 
 import itertools
 import math
+from collections import deque
 from collections.abc import Sequence
 
 from loguru import logger
@@ -38,6 +39,7 @@
 ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
 # A shard given up for one of these was refused by all instances that could be asked.
 UNSENT_REASONS = frozenset({SubOutcome.NO_REPLICA, SubOutcome.SHED})
+MAX_CANARIES = 3  # shards sent one after the other while no instance has answered
 MIN_CLOSED_SHARDS_SHARE = 0.7  # below it, late replies point to a slow daemon, not slow replicas
 
 
@@ -72,6 +74,12 @@
         self._tried_before = terms.tried_by_service
         self._tried_by_service: dict[str, int] = {}  # of services given up here
         self._pause_by_service: dict[str, Millis] = {}  # those given up as all instances pause
+        # A suspected request is sent to one shard, and once, until an instance has answered it.
+        crashes = tools.crashes
+        self._is_suspect = not crashes.is_empty and crashes.is_suspect(request.fingerprint)
+        self._is_given_up = False  # as it broke off again when it was sent to one shard alone
+        self._held_back: deque[tuple[int, InstanceReply | None]] = deque()
+        self._canaries: set[int] = set()  # shards that were sent alone
 
     async def run(self) -> Answer | Refused:
         """Return the merged answer, or a refusal that says whether the request may have run."""
@@ -153,9 +161,41 @@
             service = self._services[shard]
             if not (self._tools.availability.is_usable(service) and self._may_reach(shard)):
                 self._give_up_shard(shard, SubOutcome.NO_REPLICA)
-        if not self._should_stop():
+        if self._should_stop():
+            return
+        if self._is_suspect and len(self._services) > 1:
+            self._held_back.extend((shard, None) for shard in self._open_by_shard)
+            self._send_canary()
+        else:
             super()._send_first()
 
+    def _send_canary(self) -> None:
+        """Send one of the shards held back; give all up if several were sent to no avail."""
+        while self._held_back and len(self._canaries) < MAX_CANARIES:
+            shard, reply = self._held_back.popleft()
+            self._canaries.add(shard)
+            if self._send_held_back(shard, reply):
+                return
+        self._give_up_held_back()
+
+    def _send_held_back(self, shard: int, reply: InstanceReply | None) -> bool:
+        """Send a shard that was held back, after its failure if there was one."""
+        state = self._open_by_shard[shard]
+        if (reply is None or self._may_retry(state, reply)) and self._send_next(shard):
+            return True
+        self._give_up_shard(shard, SubOutcome.NO_REPLICA if reply is None else reply.outcome)
+        return False
+
+    def _release_held_back(self) -> None:
+        """Send the shards held back, as an instance has answered the request."""
+        while self._held_back:
+            self._send_held_back(*self._held_back.popleft())
+
+    def _give_up_held_back(self) -> None:
+        while self._held_back:
+            shard, reply = self._held_back.popleft()
+            self._give_up_shard(shard, SubOutcome.NO_REPLICA if reply is None else reply.outcome)
+
     def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
         service = self._services[shard]
         limit = self._request.table.connection_limit(service)
@@ -204,6 +244,7 @@
             loser.cancel()
         self._latencies.append(latency)
         self._parts.reply_by_service[self._services[state.number]] = reply
+        self._release_held_back()
 
     def _report_good(self, replica_id: ReplicaId, latency: Millis) -> None:
         """Report a reply that came before it would have been hedged."""
@@ -275,16 +316,40 @@
         if not reply.reached:
             state.unreached += 1
         elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
-            was_heard = self._tools.uplink.has_heard(attempt.replica.id)
-            self._tools.crashes.record_broken_reply(
-                self._request.fingerprint, attempt.replica.id, was_heard
-            )
+            self._record_broken_reply(state, attempt)
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.attempt_summary.last_failure = reply
         if state.attempts:
             return
-        if not (self._may_retry(state, reply) and self._send_next(state.number)):
+        if outcome is SubOutcome.DIED and self._may_be_at_fault():
+            self._hold_back(state, reply)
+        elif not (self._may_retry(state, reply) and self._send_next(state.number)):
             self._give_up_shard(state.number, outcome)
+        if self._held_back and not any(state.attempts for state in self._open_by_shard.values()):
+            self._send_canary()
+
+    def _record_broken_reply(self, state: ShardState, attempt: Attempt) -> None:
+        crashes, replica_id = self._tools.crashes, attempt.replica.id
+        fingerprint = self._request.fingerprint
+        crashes.record_broken_reply(
+            fingerprint, replica_id, self._tools.uplink.has_heard(replica_id)
+        )
+        is_repeat = state.number in self._canaries or state.tries - state.unreached > 1
+        if is_repeat:
+            crashes.spread_suspicion(fingerprint)
+
+    def _may_be_at_fault(self) -> bool:
+        """Return whether the request itself may break off its replies, of which it has none."""
+        return len(self._services) > 1 and not self._parts.reply_by_service
+
+    def _hold_back(self, state: ShardState, reply: InstanceReply) -> None:
+        """Retry a shard once another one has replied; give all up if it was sent alone."""
+        if state.number in self._canaries:
+            self._is_given_up = True
+            self._give_up_shard(state.number, reply.outcome)
+            self._give_up_held_back()
+        else:
+            self._held_back.append((state.number, reply))
 
     def _give_up_shard(self, shard: int, reason: SubOutcome) -> None:
         state = self._open_by_shard.get(shard)
@@ -298,12 +363,18 @@
             return False
         if reply.may_have_run and not self._route.repeatable:
             return False
+        if reply.may_have_run and self._is_unproved():
+            return False
         if not self._has_attempts_left(state):
             return False
         if not reply.reached:
             return state.unreached < MAX_UNREACHED_PER_SHARD
         return self._has_untried_replica(state) and self._spend_repeat(state)
 
+    def _is_unproved(self) -> bool:
+        """Return whether the request is suspected, and no instance has answered it."""
+        return self._is_suspect and not self._parts.reply_by_service
+
     def _has_attempts_left(self, state: ShardState) -> bool:
         tried_before = self._tried_before.get(self._services[state.number], 0)
         return tried_before + state.tries - state.unreached < self._route.max_attempts
@@ -383,6 +454,8 @@
         )
 
     def _hedge_candidates(self) -> list[ShardState]:
+        if self._is_unproved():
+            return []
         return [
             state
             for state in self._open_by_shard.values()
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -147,6 +147,20 @@
     assert started.records.time_left("f") == QUARANTINE_DURATION
 
 
+def test_a_suspicion_is_known_to_all_daemons_but_counts_as_no_crash():
+    _, first, second = pair()
+    first.records.spread_suspicion("f")
+    second.sync(first)
+    assert second.records.is_suspect("f")
+    second.crash("f", "i1", "i2")
+    assert second.records.time_left("f") is None
+    second.crash("f", "i3")
+    assert second.records.time_left("f") == QUARANTINE_DURATION
+    second.records.record_success("f")
+    first.sync(second)
+    assert not first.records.is_suspect("f")
+
+
 def test_a_record_stays_small_however_many_instances_crash():
     _, first, _ = pair()
     first.crash("f", *(f"i{number}" for number in range(100)))
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -3,9 +3,12 @@
 import trio
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis
+from firtrestle.crash_records import message_fingerprint
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.instance_replies import CallerMessage
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.replicas import MAX_IN_FLIGHT_LIMIT
+from firtrestle.snapshots import ReplicaId
 from route_fakes import (
     failed,
     good,
@@ -300,3 +303,99 @@
         return (math.inf if instance.service == "s0" else 5, good(instance))
 
     run_with_harness(behave, body)
+
+
+def start_suspicion(harness, target="/p/x"):
+    """Let a request have broken off at two instances."""
+    message = CallerMessage("r", "GET", target, "h", (), b"")
+    for name in ("s8-0", "s8-1"):
+        harness.tools.crashes.record_broken_reply(
+            message_fingerprint(message), ReplicaId(name, "1")
+        )
+
+
+# Guards against a request that ends the searchers of all its shards, and again as it is retried.
+def test_a_gather_that_breaks_off_everywhere_is_retried_at_one_shard_only():
+    async def body(harness):
+        refused, _ = await harness.ask(scatter_route(8))
+        assert isinstance(refused, Refused)
+        assert refused.ran is Ran.UNKNOWN
+        assert len(harness.pools.sent) == 9
+        await harness.ask(scatter_route(8))
+        assert len(harness.pools.sent) == 10
+
+    run_with_harness(lambda instance, nth: (5, lost()), body)
+
+
+# Guards against a reply that breaks off before the others come being retried too late.
+def test_a_shard_that_breaks_off_is_retried_as_soon_as_another_has_replied():
+    async def body(harness):
+        answer, gather = await harness.ask(scatter_route(8))
+        assert answer.missing == 0
+        assert len(harness.pools.sent) == 11
+        assert gather.attempt_summary.hedges == 0
+
+    def behave(instance, nth):
+        breaks = instance.service in ("s0", "s1", "s2") and len(broken) < 3
+        if breaks:
+            broken.append(instance.id)
+        return (1, lost()) if breaks else (10, good(instance))
+
+    broken = []
+    run_with_harness(behave, body)
+
+
+def test_a_suspected_gather_is_sent_to_one_shard_first_and_to_the_others_once_it_has_replied():
+    async def body(harness):
+        start_suspicion(harness)
+        answer, _ = await harness.ask(scatter_route(8))
+        assert answer.missing == 0
+        assert len(harness.pools.sent) == 8
+        assert sent_at[1] - sent_at[0] >= 5
+
+    def behave(instance, nth):
+        sent_at.append(trio.current_time() * 1_000)
+        return 5, good(instance)
+
+    sent_at = []
+    run_with_harness(behave, body)
+
+
+def test_a_suspected_request_that_breaks_off_again_runs_once():
+    for route in (scatter_route(8), plain_route(repeatable=True)):
+
+        async def body(harness, route=route):
+            start_suspicion(harness)
+            refused, _ = await harness.ask(route)
+            assert isinstance(refused, Refused)
+            assert refused.ran is Ran.UNKNOWN
+            assert len(harness.pools.sent) == 1
+
+        run_with_harness(lambda instance, nth: (5, lost()), body)
+
+
+def test_a_suspected_request_is_not_hedged():
+    async def body(harness):
+        start_suspicion(harness)
+        await harness.ask(plain_route(repeatable=True), time_left=500)
+        assert len(harness.pools.sent) == 1
+
+    run_with_harness(lambda instance, nth: (math.inf, lost()), body)
+
+
+def test_a_suspected_gather_tries_another_shard_if_the_first_is_out_of_reach():
+    async def body(harness):
+        start_suspicion(harness)
+        answer, _ = await harness.ask(scatter_route(8))
+        assert answer.missing == 1
+
+    unreached = set()
+
+    def behave(instance, nth):
+        if not unreached:
+            unreached.add(instance.service)
+        if instance.service in unreached:
+            return 1, unreachable()
+        return 5, good(instance)
+
+    run_with_harness(behave, body)
