--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -40,6 +40,7 @@
 class _BrokenReply:
     at: Millis
     was_heard: bool  # the instance had replied before, so that it was alive
+    is_unanswered: bool = False  # given up, so that only the registry tells a crash from slowness
     is_reached: bool = False  # a probe has reached the instance since
 
 
@@ -54,6 +55,10 @@
         """Return whether most of the instances are lost."""
         return len(self.lost) >= MIN_LOST_SHARE * len(self.broken_by_replica)
 
+    def broken(self) -> int:
+        """Return the number of replies that broke off."""
+        return sum(not broken.is_unanswered for broken in self.broken_by_replica.values())
+
     def remove_before(self, oldest: Millis) -> int:
         """Remove the broken replies from before a time; return their number."""
         expired = [id_ for id_, broken in self.broken_by_replica.items() if broken.at < oldest]
@@ -138,7 +143,7 @@
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request crashed an instance, or broke off on several."""
         case = self._case_by_fingerprint.get(fingerprint)
-        if case is not None and len(case.broken_by_replica) >= MIN_SUSPECT_REPLIES:
+        if case is not None and case.broken() >= MIN_SUSPECT_REPLIES:
             return True
         return fingerprint in self._record_by_fingerprint
 
@@ -183,9 +188,29 @@
         ).info("broken reply kept")
         if is_lost:
             self._record_loss(fingerprint, case, replica_id, "registry")
-        if len(self._case_by_fingerprint) > MAX_CASES:
-            dropped, _ = self._case_by_fingerprint.popitem(last=False)
-            logger.bind(fingerprint=dropped).info("broken replies dropped, too many requests")
+        self._limit_cases()
+
+    def record_unanswered(self, fingerprint: str, replica_ids: list[ReplicaId]) -> None:
+        """Record instances that hold a request which was given up without any reply."""
+        case = self._case_by_fingerprint.setdefault(fingerprint, _Case())
+        now = self._clock.now()
+        for replica_id in replica_ids:
+            reply = _BrokenReply(now, was_heard=False, is_unanswered=True)
+            case.broken_by_replica.setdefault(replica_id, reply)
+        logger.bind(fingerprint=fingerprint, instances=len(replica_ids)).debug(
+            "request given up, its instances are remembered"
+        )
+        self._limit_cases()
+
+    def _limit_cases(self) -> None:
+        """Drop the oldest request if there are too many; first those that were only given up."""
+        if len(self._case_by_fingerprint) <= MAX_CASES:
+            return
+        by_fingerprint = self._case_by_fingerprint.items()
+        oldest = next(iter(self._case_by_fingerprint))
+        dropped = next((key for key, case in by_fingerprint if not case.broken()), oldest)
+        del self._case_by_fingerprint[dropped]
+        logger.bind(fingerprint=dropped).debug("broken replies dropped, too many requests")
 
     def suspected(self) -> set[ReplicaId]:
         """Return the instances to probe, on which requests broke off a short time ago."""
@@ -194,7 +219,9 @@
             replica_id
             for case in self._case_by_fingerprint.values()
             for replica_id, broken in case.broken_by_replica.items()
-            if broken.at >= oldest and not broken.is_reached and replica_id not in case.lost
+            if broken.at >= oldest
+            and not (broken.is_unanswered or broken.is_reached)
+            and replica_id not in case.lost
         }
 
     def record_unreachable(self, replica_id: ReplicaId) -> None:
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -351,6 +351,19 @@
         else:
             self._held_back.append((state.number, reply))
 
+    def _cancel_all(self) -> None:
+        """Cancel the open attempts; without any reply, their instances may yet crash by them."""
+        if not self._parts.reply_by_service:
+            sent_to = [
+                attempt.replica.id
+                for state in self._open_by_shard.values()
+                for attempt in state.attempts
+                if self._call_by_attempt[attempt.number].sent_at is not None
+            ]
+            if sent_to:
+                self._tools.crashes.record_unanswered(self._request.fingerprint, sent_to)
+        super()._cancel_all()
+
     def _give_up_shard(self, shard: int, reason: SubOutcome) -> None:
         state = self._open_by_shard.get(shard)
         if state is not None:
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -102,6 +102,7 @@
 
     def start(self, instance: Instance, call: InstanceCall, connections: int) -> InstanceCall:
         self.sent.append(instance.id)
+        call.sent_at = Clock().now()
         self.nursery.start_soon(self._reply, instance, call, Counter(self.sent)[instance.id])
         return call
 
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -399,3 +399,50 @@
         return 5, good(instance)
 
     run_with_harness(behave, body)
+
+
+def lose_all(harness):
+    for instance in harness.tools.instances.all():
+        harness.tools.crashes.record_instance_lost(instance.replica_id)
+
+
+def time_held_off(harness, target="/p/x"):
+    message = CallerMessage("r", "GET", target, "h", (), b"")
+    return harness.tools.crashes.time_left(message_fingerprint(message))
+
+
+# Guards against a crash that comes after the request was given up being seen by nobody.
+def test_instances_that_crash_after_their_request_was_given_up_are_counted():
+    async def body(harness):
+        with trio.move_on_after(0.05):  # the caller leaves
+            await harness.ask(scatter_route(3))
+        assert time_held_off(harness) is None
+        lose_all(harness)
+        assert time_held_off(harness) is not None
+
+    run_with_harness(lambda instance, nth: (math.inf, lost()), body)
+
+
+def test_instances_that_crash_after_another_one_has_replied_are_not_counted():
+    async def body(harness):
+        with trio.move_on_after(0.05):
+            await harness.ask(scatter_route(8))
+        lose_all(harness)
+        assert time_held_off(harness) is None
+
+    def behave(instance, nth):
+        return (5 if instance.service == "s0" else math.inf), good(instance)
+
+    run_with_harness(behave, body)
+
+
+# Guards against slow instances being taken for crashed ones, and their requests for suspect.
+def test_requests_that_are_given_up_are_neither_suspect_nor_probed_for():
+    async def body(harness):
+        await harness.ask(scatter_route(3), time_left=50)
+        assert not harness.tools.crashes.is_empty
+        assert not harness.tools.crashes.suspected()
+        message = CallerMessage("r", "GET", "/p/x", "h", (), b"")
+        assert not harness.tools.crashes.is_suspect(message_fingerprint(message))
+
+    run_with_harness(lambda instance, nth: (math.inf, lost()), body)
