--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -72,7 +72,9 @@
 
     def fail(self, reason: str) -> None:
         """Deliver a failure now, and stop the call."""
-        self.finish(failed_reply(HttpFailure(self.sent_at is not None, reason)))
+        reply = failed_reply(HttpFailure(self.sent_at is not None, reason))
+        reply.given_up = True
+        self.finish(reply)
         self.scope.cancel()
 
     def cancel(self) -> None:
--- a/packages/firtrestle/firtrestle/instance_replies.py
+++ b/packages/firtrestle/firtrestle/instance_replies.py
@@ -44,6 +44,7 @@
     may_have_run: bool = False
     answers_other_request: bool = False  # then its connection can no longer be trusted
     reason: str = ""
+    given_up: bool = False  # by this daemon, so that a failure says nothing of the instance
     leaving: bool = False  # the instance announced its departure
     retry_after: Millis | None = None  # how long the instance wants no requests from this daemon
     rate_limit: float | None = None  # requests a second that it takes from all daemons together
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -316,7 +316,7 @@
         if not reply.reached:
             state.unreached += 1
         elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
-            self._record_broken_reply(state, attempt)
+            self._record_broken_reply(state, attempt, reply)
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.attempt_summary.last_failure = reply
         if state.attempts:
@@ -328,9 +328,14 @@
         if self._held_back and not any(state.attempts for state in self._open_by_shard.values()):
             self._send_canary()
 
-    def _record_broken_reply(self, state: ShardState, attempt: Attempt) -> None:
+    def _record_broken_reply(
+        self, state: ShardState, attempt: Attempt, reply: InstanceReply
+    ) -> None:
         crashes, replica_id = self._tools.crashes, attempt.replica.id
         fingerprint = self._request.fingerprint
+        if reply.given_up:
+            crashes.record_unanswered(fingerprint, [replica_id])
+            return
         crashes.record_broken_reply(
             fingerprint, replica_id, self._tools.uplink.has_heard(replica_id)
         )
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -446,3 +446,20 @@
         assert not harness.tools.crashes.is_suspect(message_fingerprint(message))
 
     run_with_harness(lambda instance, nth: (math.inf, lost()), body)
+
+
+# Guards against requests in flight as a daemon loses its links being suspected everywhere.
+def test_calls_that_this_daemon_gives_up_make_no_request_suspect():
+    async def body(harness):
+        await harness.ask(plain_route(repeatable=True))
+        message = CallerMessage("r", "GET", "/p/x", "h", (), b"")
+        assert not harness.tools.crashes.is_suspect(message_fingerprint(message))
+        lose_all(harness)
+        assert time_held_off(harness) is not None
+
+    def behave(instance, nth):
+        reply = lost()
+        reply.given_up = True
+        return 5, reply
+
+    run_with_harness(behave, body, services=1)
