--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -58,6 +58,7 @@
 FLEET_DISCOVERY_TIME = Millis(2_000)  # after a start; until then a daemon may know few others
 LATE_PLUGINS_DELAY = Millis(3_000)  # so that imports do not delay the first answers after a start
 EXIT_RESERVE = Millis(500)  # part of the grace period kept for the process to exit before SIGKILL
+ANSWER_RESERVE = Millis(100)  # for the last answers to be written
 FLUSH_DELAY = Millis(50)  # lets the last answers reach the network before the process exits
 BYTES_PER_MB = 1_000_000
 REPLY_MEMORY_SHARE = 0.1  # of the VM's memory, for unfinished replies of instances
@@ -332,10 +333,11 @@
         """Report not ready, and finish the running requests within the grace period."""
         logger.bind(running=self.state.running).info("stopping")
         self.events.add(EventKind.STOPPING)
-        self.state.stopping = True
+        grace = Millis(self.settings.routes.grace_ms - EXIT_RESERVE)
+        self.front.stop_by(Millis(self.clock.now() + grace - ANSWER_RESERVE))
         self._members.leave()
         self._http.close_after_answers()
-        with move_on_after(Millis(self.settings.routes.grace_ms - EXIT_RESERVE)):
+        with move_on_after(grace):
             await sleep(Millis(self.settings.front.drain_ms))
             accept_scope.cancel()
             self._http.close_idle()
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+import trio
 from loguru import logger
 
 from firtrestle import signals
 from firtrestle.answers import Answer
-from firtrestle.clocks import Clock, Millis, move_on_after
-from firtrestle.errors import ErrorKind, Refused
+from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, move_on_after
+from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.instance_replies import CallerMessage
 from firtrestle.registry_readers import RegistryProgress
@@ -25,6 +27,7 @@
 KINDS_WORTH_RETRYING = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
 # Long enough for a queue to drain; a shard without replicas takes seconds to return anyway.
 DEFAULT_RETRY_AFTER = Millis(200)
+STOPPING_RETRY_AFTER = Millis(50)  # another daemon serves the request at once
 RETRY_AFTER_JITTER = (0.5, 1.5)  # factors of the delay, so that callers don't retry in step
 # A starting daemon reads its initial state in two short calls.
 MAX_STARTUP_WAIT = Millis(150)
@@ -59,6 +62,7 @@
     table: RouteTable
     applied_at: Millis = Millis(0)  # when this daemon put the table into force
     stopping: bool = False
+    answers_by: Millis = Millis(math.inf)  # when a stopping daemon sends its last answers
     running: int = 0
 
 
@@ -79,6 +83,14 @@
         self._codec = codec
         self._rng = rng
         self._clock: Clock = tools.clock
+        self._running_scopes: set[trio.CancelScope] = set()
+
+    def stop_by(self, answers_by: Millis) -> None:
+        """Answer all requests by a time, as the process ends soon after it."""
+        self.state.stopping = True
+        self.state.answers_by = answers_by
+        for scope in self._running_scopes:
+            scope.deadline = self._last_answer_at()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request; log a caller that disconnects before it."""
@@ -87,16 +99,25 @@
         if isinstance(decoded, Refused):
             return self._refuse("", "", arrived_at, decoded)
         self.state.running += 1
-        answered = False
+        response: HttpResponse | None = None
         try:
-            response = await self._answer(decoded, arrived_at)
-            answered = True
+            with trio.CancelScope(deadline=self._last_answer_at()) as scope:
+                self._running_scopes.add(scope)
+                response = await self._answer(decoded, arrived_at)
+            if response is None:
+                refused = Refused(ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN, "the daemon ends")
+                response = self._refuse(decoded.message.request_id, "", arrived_at, refused)
             return response
         finally:
+            self._running_scopes.discard(scope)
             self.state.running -= 1
-            if not answered:
+            if response is None:
                 self._log_caller_left(decoded, arrived_at)
 
+    def _last_answer_at(self) -> float:
+        """Return when a stopping daemon sends its last answers, in seconds of trio's clock."""
+        return self.state.answers_by / MILLIS_PER_SECOND
+
     async def _answer(self, request: DecodedRequest, arrived_at: Millis) -> HttpResponse:
         request_id = request.message.request_id
         if not self._progress.complete.is_set():
@@ -118,6 +139,11 @@
             kind = ErrorKind.DEADLINE_PASSED if services else ErrorKind.NO_TARGET
             return self._refuse(request_id, route.name, arrived_at, Refused(kind))
         deadline = Millis(arrived_at + time_left)
+        if deadline > self.state.answers_by:
+            if not route.repeatable:
+                refused = Refused(ErrorKind.STOPPING, retry_after=STOPPING_RETRY_AFTER)
+                return self._refuse(request_id, route.name, arrived_at, refused)
+            deadline = self.state.answers_by
         routed = RoutedRequest(
             request.message, route, table, arrived_at, deadline, self._tools.loop.busy_time()
         )
