Ignore further signals while a daemon stops (LOST); tests of replies that end early

They are now received, and logged, until it has ended.

A searcher that ends in the middle of its reply's head, as another operator reports: can't happen here.

--- a/packages/firtrestle/firtrestle/base_daemons.py
+++ b/packages/firtrestle/firtrestle/base_daemons.py
@@ -5,9 +5,11 @@
 import random
 import signal
 import time
+from collections.abc import AsyncIterator
 from typing import Any
 
 import trio
+from loguru import logger
 
 from firtrestle.clocks import Clock, Millis
 from firtrestle.events import EventLog
@@ -51,14 +53,23 @@
     async def _wait_for_stop(self, accept_scope: trio.CancelScope) -> None:
         """Wait for SIGTERM or SIGINT, then stop and cancel all tasks.
 
-        Cancelling `accept_scope` closes the port for callers.
+        Cancelling `accept_scope` closes the port for callers. Signals are received until the stop
+        has ended: a second one would end the process before it has answered its callers.
         """
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
             async for _ in received:
                 break
-        await self._stop(accept_scope)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_ignore_signals, received)
+                await self._stop(accept_scope)
+                nursery.cancel_scope.cancel()
         self._nursery.cancel_scope.cancel()
 
     async def _stop(self, accept_scope: trio.CancelScope) -> None:
         """Report not ready, finish the running requests, and return."""
         raise NotImplementedError
+
+
+async def _ignore_signals(received: AsyncIterator[int]) -> None:
+    async for number in received:
+        logger.bind(signal=signal.Signals(number).name).info("signal ignored, already stopping")
--- a/packages/firtrestle/tests/test_http_clients.py
+++ b/packages/firtrestle/tests/test_http_clients.py
@@ -44,6 +44,24 @@
     assert (reply.status, reply.body, connection.usable) == (200, b"ok", True)
 
 
+CHUNKED_REPLY = (
+    b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nok\r\n0\r\n\r\n"
+)
+# Without a length, what comes before the end of the connection is the body.
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n"
+
+
+# Guards against a reply that ends in its head, or in its body, passing for a whole one (MIXED).
+@pytest.mark.parametrize("reply", [REPLY, CHUNKED_REPLY, UNFRAMED_HEAD])
+async def test_a_reply_that_ends_early_at_any_byte_is_a_failure(reply):
+    for length in range(len(reply)):
+        got, connection = await exchange(serve_bytes(reply[:length], close=True))
+        assert isinstance(got, HttpFailure), reply[:length]
+        assert got.sent
+        assert not connection.usable
+
+
 async def test_bytes_after_the_reply_make_the_connection_unusable():
     reply, connection = await exchange(serve_bytes(REPLY + REPLY))
     assert reply.body == b"ok"
