--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -103,6 +103,11 @@
     "Instances that asked this daemon for a pause that is not over",
     registry=REGISTRY,
 )
+QUARANTINED = Gauge(
+    "firtrestle_requests_quarantined",
+    "Requests that are held off, as they crash instances",
+    registry=REGISTRY,
+)
 LIMITED = Gauge(
     "firtrestle_instances_limited",
     "Instances that name the rate of requests that they take",
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -392,6 +392,7 @@
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
         metrics.LIMITED.set(self._rate_limits.count())
+        metrics.QUARANTINED.set(self._crashes.quarantined())
         for service, repeats_left in self._budgets.remaining_by_service().items():
             metrics.REPEATS_LEFT.labels(service).set(repeats_left)
         return metrics.exposition()
