Crash records: expired evidence of requests given up is logged at DEBUG; the bound holds for merged records

In an overload each request that is given up would have logged a line at INFO 15 s later, in place of lines on answers. A record merged from peers beyond the bound let further marks in (a negative slice; unit test red before).

--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -191,7 +191,7 @@
         self._limit_cases()
 
     def record_unanswered(self, fingerprint: str, replica_ids: list[ReplicaId]) -> None:
-        """Record instances that hold a request which was given up without any reply."""
+        """Record instances that got a request which was given up without any reply."""
         case = self._case_by_fingerprint.setdefault(fingerprint, _Case())
         now = self._clock.now()
         for replica_id in replica_ids:
@@ -259,10 +259,11 @@
         """Remove evidence and records that have expired."""
         oldest = self._clock.now() - EVIDENCE_RETENTION
         for fingerprint, case in list(self._case_by_fingerprint.items()):
+            level = "INFO" if case.broken() else "DEBUG"
             expired = case.remove_before(Millis(oldest))
             if expired:
-                logger.bind(fingerprint=fingerprint, instances=expired, lost=len(case.lost)).info(
-                    "broken replies expired"
+                logger.bind(fingerprint=fingerprint, instances=expired, lost=len(case.lost)).log(
+                    level, "broken replies expired"
                 )
             if not case.broken_by_replica:
                 del self._case_by_fingerprint[fingerprint]
@@ -299,7 +300,7 @@
             before=record.crashes(),
         ).info("an instance crashed while it ran a request")
         new = sorted({_lifetime_mark(lost) for lost in case.lost} - record.marks)
-        new = new[: MAX_RECORDED_CRASHES - record.crashes()]
+        new = new[: max(0, MAX_RECORDED_CRASHES - record.crashes())]
         if case.is_conclusive() and new:
             self._publish(fingerprint, record.marks.union(new))
 
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -162,9 +162,14 @@
 
 
 def test_a_record_stays_small_however_many_instances_crash():
-    _, first, _ = pair()
+    clock, first, _ = pair()
     first.crash("f", *(f"i{number}" for number in range(100)))
     assert len(first.items.by_key[CRASH_PREFIX + "f"].value) == MAX_RECORDED_CRASHES
+    merged = [f"i{number} 9" for number in range(MAX_RECORDED_CRASHES + 5)]
+    first.items.put(CRASH_PREFIX + "f", round(clock.wall()) + 100, merged)
+    size = len(first.items.by_key[CRASH_PREFIX + "f"].value)
+    first.crash("f", "i200", "i201")
+    assert len(first.items.by_key[CRASH_PREFIX + "f"].value) == size
 
 
 def test_one_answer_clears_the_request_at_all_daemons():
