--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -123,7 +123,7 @@
         self._items = items
         self._clock = clock
         self._own_rank = own_rank
-        self._case_by_fingerprint: OrderedDict[str, _Case] = OrderedDict()
+        self._case_by_fingerprint: dict[str, _Case] = {}
         self._lost_at_by_replica: OrderedDict[ReplicaId, Millis] = OrderedDict()
         self._record_by_fingerprint: dict[str, _Record] = {}
         items.add_validator(CRASH_PREFIX, self._is_current)
--- a/packages/firtrestle/firtrestle/routed_requests.py
+++ b/packages/firtrestle/firtrestle/routed_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from firtrestle.clocks import Millis
 from firtrestle.crash_records import message_fingerprint
@@ -17,7 +18,7 @@
 MAX_UNSEEN_TIME = Millis(20)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class RoutedRequest:
     """Represent a caller's request, pinned to the route and route table it started with."""
 
@@ -28,7 +29,7 @@
     deadline: Millis
     busy_at_arrival: Millis = Millis(0)  # busy time of the event loop before the request
 
-    @property
+    @cached_property
     def fingerprint(self) -> str:
         """Return the request's fingerprint; computed on demand, as only failures need it."""
         return message_fingerprint(self.message)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -183,7 +183,7 @@
         state = self._open_by_shard[shard]
         if (reply is None or self._may_retry(state, reply)) and self._send_next(shard):
             return True
-        self._give_up_shard(shard, SubOutcome.NO_REPLICA if reply is None else reply.outcome)
+        self._give_up_unsent(shard, reply)
         return False
 
     def _release_held_back(self) -> None:
@@ -193,8 +193,10 @@
 
     def _give_up_held_back(self) -> None:
         while self._held_back:
-            shard, reply = self._held_back.popleft()
-            self._give_up_shard(shard, SubOutcome.NO_REPLICA if reply is None else reply.outcome)
+            self._give_up_unsent(*self._held_back.popleft())
+
+    def _give_up_unsent(self, shard: int, reply: InstanceReply | None) -> None:
+        self._give_up_shard(shard, SubOutcome.NO_REPLICA if reply is None else reply.outcome)
 
     def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
         service = self._services[shard]
