Log the store's era, complete reads, and changes of instances that are not taken

New lines: 'instance unknown to a peer that knows later changes', 'registration read, but not taken', 'change of an instance is no news'. No decision uses the era yet.

--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -79,7 +79,7 @@
 
     def put(self, instance: Instance, revision: int) -> bool:
         """Store a registration if it is newer; return whether it was."""
-        if revision <= self._last_revision(instance.id):
+        if not self._is_news(instance.id, revision, "registration"):
             return False
         before = self._record_by_id.get(instance.id)
         self._record_by_id[instance.id] = _Record(instance, revision)
@@ -100,7 +100,7 @@
 
     def remove(self, instance_id: str, revision: int) -> bool:
         """Remove an instance, or mark it as lapsed; return whether the removal was newer."""
-        if revision <= self._last_revision(instance_id):
+        if not self._is_news(instance_id, revision, "removal"):
             return False
         self._removed_revision_by_id[instance_id] = revision
         record = self._record_by_id.get(instance_id)
@@ -187,6 +187,14 @@
                 leaving.setdefault(instance.service, []).append(instance)
         return {name: tuple(instances) for name, instances in (leaving | staying).items()}
 
+    def _is_news(self, instance_id: str, revision: int, change: str) -> bool:
+        last_revision = self._last_revision(instance_id)
+        if revision <= last_revision:
+            logger.bind(
+                instance=instance_id, change=change, revision=revision, known_revision=last_revision
+            ).debug("change of an instance is no news")
+        return revision > last_revision
+
     def _last_revision(self, instance_id: str) -> int:
         record = self._record_by_id.get(instance_id)
         removed = self._removed_revision_by_id.get(instance_id, 0)
--- a/packages/firtrestle/firtrestle/registry_watches.py
+++ b/packages/firtrestle/firtrestle/registry_watches.py
@@ -34,10 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RegistryUpdates:
-    """Represent the items of a read or watch, complete up to a revision of the registry."""
+    """Represent the items of a read or watch, complete up to a revision of the registry.
+
+    Revisions are given out again after the registry was restored from a copy, which its next era
+    tells; the era is None if the registry names none.
+    """
 
     items: tuple[RegistryItem, ...]
     revision: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +114,8 @@
                 self._progress.read_failed(self._name)
                 await sleep(Millis(self._settings.retry_ms * self._rng.uniform(0.5, 1.5)))
                 continue
+            if revision is None:
+                self._log_complete_read(result)
             self._publish(result, revision is None)
             self._progress.advance(self._name, result.revision)
             if result.items:
@@ -148,6 +155,14 @@
                 return result
             self._progress.advance(self._name, result.revision)
 
+    def _log_complete_read(self, updates: RegistryUpdates) -> None:
+        logger.bind(
+            part=self._name,
+            era=updates.era,
+            revision=updates.revision,
+            items=len(updates.items),
+        ).info("registry read completely")
+
     def _log_given_up(self, result: RegistryResult) -> None:
         self.watches_given_up += 1
         missed = len(result.items) if isinstance(result, RegistryUpdates) else None
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -114,7 +114,14 @@
         value = _to_row(instance)
         item = self._items.by_key.get(key)
         if is_complete_read or item is None or item.value != value:
-            self._items.put(key, revision, value)
+            is_news = self._items.put(key, revision, value)
+            if not is_news and (item is None or item.value != value):
+                logger.bind(
+                    instance=instance.id,
+                    revision=revision,
+                    known_revision=item.stamp if item is not None else None,
+                    progress=self._progress.revision(self._instances_part),
+                ).info("registration read, but not taken")
 
     def remove_instance(self, instance_id: str, revision: int) -> None:
         """Publish that a registration was removed."""
@@ -143,7 +150,11 @@
         for key, stamp in self._items.stamps_in(pong.buckets).items():
             is_missing = key.startswith(INSTANCE_PREFIX) and key not in pong.stamps
             if is_missing and stamp <= known_revision and self._items.by_key[key].value:
-                self.remove_instance(key.removeprefix(INSTANCE_PREFIX), known_revision)
+                instance_id = key.removeprefix(INSTANCE_PREFIX)
+                logger.bind(
+                    instance=instance_id, revision=stamp, known_revision=known_revision
+                ).info("instance unknown to a peer that knows later changes")
+                self.remove_instance(instance_id, known_revision)
         self._progress.merge(pong.progress, asked_at)
 
     def _has_changed_since(self, ping: Ping, pong: Pong) -> bool:
