--- a/packages/firtrestle/firtrestle/gossip_maps.py
+++ b/packages/firtrestle/firtrestle/gossip_maps.py
@@ -13,11 +13,13 @@
 from firtrestle.hashing import hash32
 from firtrestle.isolations import faults
 from firtrestle.messages import Items, Ping, Pong, Pull
+from firtrestle.registry_eras import RegistryEras
 
 BUCKETS = 64
 BATCH_DELAY = Millis(5)
 MAX_ITEMS_PER_PULL = 2_000
 LARGE_VALUE_BYTES = 1_024  # text or bytes of this size are announced before being sent
+ERA_BOUND_PREFIX = "instance/"  # of items whose stamps are revisions of a registry
 REQUEST_WAIT = Millis(500)  # how long an announced item is awaited before another peer is asked
 
 Validator = Callable[[str, int, Any], bool]
@@ -82,6 +84,14 @@
             self._toggle_in_digest(key, removed.stamp)
             self.changed.discard(key)
 
+    def restamp(self, prefix: str, stamp: int) -> None:
+        """Give the items whose key has a prefix another stamp, which is not told to peers."""
+        for key, item in self.with_prefix(prefix).items():
+            self._toggle_in_digest(key, item.stamp)
+            self.by_key[key] = Item(stamp, item.value)
+            self._toggle_in_digest(key, stamp)
+            self.changed.discard(key)
+
     def with_prefix(self, prefix: str) -> dict[str, Item]:
         """Return the items whose key has a prefix, by key."""
         return {key: item for key, item in self.by_key.items() if key.startswith(prefix)}
@@ -118,10 +128,22 @@
 
 
 class Gossiper:
-    """Push changes at once, and with each ping repair what pushes missed."""
-
-    def __init__(self, items: GossipMap, fanout: int, rng: random.Random, clock: Clock) -> None:
+    """Push changes at once, and with each ping repair what pushes missed.
+
+    Items that are stamped with revisions of a registry are exchanged only with peers that know
+    the same eras of it.
+    """
+
+    def __init__(
+        self,
+        items: GossipMap,
+        fanout: int,
+        rng: random.Random,
+        clock: Clock,
+        eras: RegistryEras | None = None,
+    ) -> None:
         self.items = items
+        self.eras = eras or RegistryEras()
         self._fanout = fanout
         self._rng = rng
         self._clock = clock
@@ -133,7 +155,7 @@
             while True:
                 await self.items.changed_event.wait()
                 await sleep(BATCH_DELAY)
-                push = _build_push(self.items.take_changed())
+                push = _build_push(self.items.take_changed(), self.eras.to_wire())
                 peers = live_peers()
                 for peer in self._rng.sample(peers, min(self._fanout, len(peers))):
                     nursery.start_soon(self._push, peer, push, call)
@@ -143,20 +165,32 @@
         try:
             answer = await call(peer, push)
             if isinstance(answer, Items) and answer.wanted:
-                await call(peer, Pull([], self.items.rows(answer.wanted)))
+                rows = self.items.rows(answer.wanted)
+                await call(peer, Pull([], rows, eras=self.eras.to_wire()))
         except Exception as error:  # the peer's answer was not understood
             faults.record("push to a peer", error)
 
     def serve_ping(self, ping: Ping) -> Pong:
         """Answer with the stamps of the buckets that differ from the sender's."""
+        self.eras.learn(ping.eras)
         buckets = self.items.differing_buckets(ping.digest)
-        return Pong(True, self.items.stamps_in(buckets), buckets)
+        return Pong(True, self.items.stamps_in(buckets), buckets, eras=self.eras.to_wire())
 
     def serve_pull(self, pull: Pull) -> Items:
         """Store the sender's items; return those it asks for and the announced ones to send."""
-        self.items.put_rows(pull.items)
+        self.store_rows(pull.items, pull.eras)
         wanted = [key for key, stamp in pull.announced.items() if self._should_request(key, stamp)]
-        return Items(self.items.rows(pull.keys[:MAX_ITEMS_PER_PULL]), wanted)
+        rows = self.items.rows(pull.keys[:MAX_ITEMS_PER_PULL])
+        return Items(rows, wanted, self.eras.to_wire())
+
+    def store_rows(self, rows: list[list[Any]], eras: list[int]) -> None:
+        """Store the rows of a peer, but those stamped in other eras than this daemon knows."""
+        self.eras.learn(eras)
+        if not self.eras.are_shared_by(eras):
+            kept = [row for row in rows if not (row and _is_era_bound(row[0]))]
+            self.eras.refused_rows += len(rows) - len(kept)
+            rows = kept
+        self.items.put_rows(rows)
 
     def _should_request(self, key: str, stamp: int) -> bool:
         """Return whether to ask for an announced item; one peer at a time is asked."""
@@ -172,26 +206,41 @@
 
     def repair_for(self, pong: Pong) -> Pull | None:
         """Return what to fetch from a peer and send to it after a ping, or None if nothing."""
+        self.eras.learn(pong.eras)
         if not pong.buckets:
             return None
+        is_comparable = self.eras.are_shared_by(pong.eras)
         own_stamps = self.items.stamps_in(pong.buckets)
-        wanted = [key for key, stamp in pong.stamps.items() if stamp > own_stamps.get(key, -1)]
-        newer = [key for key, stamp in own_stamps.items() if stamp > pong.stamps.get(key, -1)]
+        wanted = [
+            key
+            for key, stamp in pong.stamps.items()
+            if stamp > own_stamps.get(key, -1) and (is_comparable or not _is_era_bound(key))
+        ]
+        newer = [
+            key
+            for key, stamp in own_stamps.items()
+            if stamp > pong.stamps.get(key, -1) and (is_comparable or not _is_era_bound(key))
+        ]
         if not wanted and not newer:
             return None
-        return Pull(wanted[:MAX_ITEMS_PER_PULL], self.items.rows(newer[:MAX_ITEMS_PER_PULL]))
+        rows = self.items.rows(newer[:MAX_ITEMS_PER_PULL])
+        return Pull(wanted[:MAX_ITEMS_PER_PULL], rows, eras=self.eras.to_wire())
 
 
 def _bucket(key: str) -> int:
     return hash32(key) % BUCKETS
 
 
-def _build_push(rows: list[list[Any]]) -> Pull:
+def _is_era_bound(key: Any) -> bool:
+    return isinstance(key, str) and key.startswith(ERA_BOUND_PREFIX)
+
+
+def _build_push(rows: list[list[Any]], eras: list[int]) -> Pull:
     large = [
         row for row in rows if isinstance(row[2], str | bytes) and len(row[2]) >= LARGE_VALUE_BYTES
     ]
     small = [row for row in rows if row not in large]
-    return Pull([], small, {key: stamp for key, stamp, _ in large})
+    return Pull([], small, {key: stamp for key, stamp, _ in large}, eras=eras)
 
 
 def _row(key: str, item: Item) -> list[Any]:
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -1,7 +1,8 @@
 """Track the instances of each service from a registry's registrations and removals.
 
-A removal may be a lapse: a registration that expired because the registry was unreachable,
-while the instance still runs. Such instances are kept for a grace period.
+A removal may be a lapse: a registration that expired because the registry was unreachable, or
+that a copy lacks from which the registry was restored, while the instance still runs. Such
+instances are kept for a grace period.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 
 from firtrestle.clocks import Clock, Millis
 from firtrestle.departures import Departures
+from firtrestle.held_registrations import HeldRegistrations
 from firtrestle.snapshots import ReplicaId
 
 LAPSE_GRACE = Millis(2_500)  # live instances register again within 2 s after an outage
@@ -22,6 +24,8 @@
 MASS_REMOVAL_WINDOW = Millis(1_000)
 MASS_REMOVAL_SHARE = 0.2
 MIN_MASS_REMOVALS = 4  # a small fleet's ordinary changes must not count as an outage
+CHECK_IN_INTERVAL = Millis(1_200)
+EARLIER_ERA_REVISION = 0  # of what is known from before the registry was restored; below all others
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +55,7 @@
     revision: int
     barred: bool = False  # another instance answers at its address
     lapsed_at: Millis | None = None  # time of a removal that may be a lapse
+    is_of_earlier_era: bool = False  # not registered since the registry was restored
 
 
 class Instances:
@@ -63,6 +68,7 @@
         departures: Departures,
         on_draining: Callable[[Instance], None] = lambda instance: None,
         on_lost: Callable[[ReplicaId], None] = lambda replica_id: None,
+        check_in_interval: Millis = CHECK_IN_INTERVAL,
     ) -> None:
         """Prepare; `on_lost` is called for instances that ended without having announced it."""
         self._clock = clock
@@ -72,6 +78,7 @@
         self._on_lost = on_lost
         self._record_by_id: dict[str, _Record] = {}
         self._removed_revision_by_id: dict[str, int] = {}
+        self._held = HeldRegistrations(clock, check_in_interval)
         self._by_service: dict[str, tuple[Instance, ...]] | None = None
         self._unreachable = False
         self._recovered_at: Millis | None = None
@@ -82,7 +89,24 @@
         if not self._is_news(instance.id, revision, "registration"):
             return False
         before = self._record_by_id.get(instance.id)
-        self._record_by_id[instance.id] = _Record(instance, revision)
+        known = before.instance if before is not None and before.is_of_earlier_era else None
+        if self._held.hold(instance, revision, known):
+            if known is not None and known.born != instance.born:
+                self._lapse(before, revision)
+            return True
+        self._store(instance, revision)
+        return True
+
+    def _store(self, instance: Instance, revision: int) -> None:
+        before = self._record_by_id.get(instance.id)
+        # A copy tells nothing new of an instance whose address another one had taken.
+        is_barred = (
+            before is not None
+            and before.barred
+            and before.is_of_earlier_era
+            and before.instance == instance
+        )
+        self._record_by_id[instance.id] = _Record(instance, revision, is_barred)
         self._by_service = None
         if before is None or before.instance != instance:
             logger.bind(
@@ -96,23 +120,32 @@
             self._end(before.instance)
         if instance.draining and (before is None or not before.instance.draining):
             self._on_draining(instance)
-        return True
 
     def remove(self, instance_id: str, revision: int) -> bool:
         """Remove an instance, or mark it as lapsed; return whether the removal was newer."""
         if not self._is_news(instance_id, revision, "removal"):
             return False
         self._removed_revision_by_id[instance_id] = revision
+        self._held.discard(instance_id)
         record = self._record_by_id.get(instance_id)
         if record is None or record.lapsed_at is not None:
             return True
-        if not record.instance.draining and self._may_be_lapse():
-            record.lapsed_at = self._clock.now()
-            logger.bind(instance=instance_id, revision=revision).info("registration lapsed, kept")
+        if record.instance.draining:
+            self._drop(instance_id, revision)
+        elif record.is_of_earlier_era or self._may_be_lapse():
+            self._lapse(record, revision)
         else:
             self._drop(instance_id, revision)
         return True
 
+    def begin_era(self) -> None:
+        """Compare no revision known so far with later ones, as the registry was restored."""
+        for record in self._record_by_id.values():
+            record.revision = EARLIER_ERA_REVISION
+            record.is_of_earlier_era = True
+        self._removed_revision_by_id.clear()
+        self._held.begin_era()
+
     def bar(self, replica_id: ReplicaId) -> None:
         """Give an instance no new work until a newer registration of it is stored.
 
@@ -132,11 +165,13 @@
         self._unreachable = not is_reachable
 
     def expire(self) -> None:
-        """Drop lapsed instances that did not register again within the grace period."""
+        """Drop lapsed instances after the grace period, and use registrations held no longer."""
         now = self._clock.now()
         for instance_id, record in list(self._record_by_id.items()):
             if record.lapsed_at is not None and now - record.lapsed_at >= LAPSE_GRACE:
-                self._drop(instance_id, self._removed_revision_by_id[instance_id])
+                self._drop(instance_id, self._last_revision(instance_id))
+        for held in self._held.take_due():
+            self._store(held.instance, held.revision)
 
     def refresh(self) -> None:
         """Choose the serving instances of each service anew, after a change of departures."""
@@ -198,7 +233,8 @@
     def _last_revision(self, instance_id: str) -> int:
         record = self._record_by_id.get(instance_id)
         removed = self._removed_revision_by_id.get(instance_id, 0)
-        return max(removed, record.revision if record is not None else 0)
+        registered = record.revision if record is not None else 0
+        return max(removed, registered, self._held.revision(instance_id))
 
     def _may_be_lapse(self) -> bool:
         """Count a removal, and return whether it may be due to an outage of the registry.
@@ -219,8 +255,17 @@
         )
         return self._unreachable or after_outage
 
+    def _lapse(self, record: _Record, revision: int) -> None:
+        """Keep an instance for a grace period although its registration is gone."""
+        if record.lapsed_at is None:
+            record.lapsed_at = self._clock.now()
+            logger.bind(
+                instance=record.instance.id, revision=revision, restored=record.is_of_earlier_era
+            ).info("registration lapsed, kept")
+
     def _drop(self, instance_id: str, revision: int) -> None:
         record = self._record_by_id.pop(instance_id)
+        self._held.record_end(record.instance)
         self._by_service = None
         self._end(record.instance)
         logger.bind(instance=instance_id, revision=revision).info("instance removed")
--- a/packages/firtrestle/firtrestle/members.py
+++ b/packages/firtrestle/firtrestle/members.py
@@ -265,7 +265,7 @@
         client = self._clients.get(address)
         timeout = Millis(self._settings.ping_timeout_ms)
         asked_at = self._clock.now()
-        ping = Ping(self.me.id, list(self._items.digest))
+        ping = Ping(self.me.id, list(self._items.digest), self._gossiper.eras.to_wire())
         pong = await client.call(ping, timeout)
         if not isinstance(pong, Pong):
             return False
@@ -274,7 +274,7 @@
             answer = await client.call(repair, Millis(self._settings.call_timeout_ms))
             if isinstance(answer, PeerFailure):
                 return True
-            self._items.put_rows(answer.items)
+            self._gossiper.store_rows(answer.items, answer.eras)
         # A repair of the maximum length may have left out items that the peer holds.
         if repair is None or len(repair.keys) < MAX_ITEMS_PER_PULL:
             self._on_synchronized(ping, pong, asked_at)
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -34,10 +34,15 @@
 @message("ping")
 @dataclass(slots=True)
 class Ping:
-    """Check whether a peer is alive, and send a digest of the sender's state."""
+    """Check whether a peer is alive, and send a digest of the sender's state.
+
+    `eras` holds, here and in other messages, the first and the newest era of the registry that
+    the sender knows. It is empty if the sender knows none or is of an earlier build.
+    """
 
     sender: str
     digest: list[int] = field(default_factory=list)
+    eras: list[int] = field(default_factory=list)
 
 
 @message("are-you-there")
@@ -68,6 +73,7 @@
     stamps: dict[str, int] = field(default_factory=dict)
     buckets: list[int] = field(default_factory=list)
     progress: dict[str, list[float]] = field(default_factory=dict)
+    eras: list[int] = field(default_factory=list)
 
 
 @message("pull")
@@ -82,6 +88,7 @@
     items: list[list[Any]] = field(default_factory=list)
     announced: dict[str, int] = field(default_factory=dict)
     slow: list[list[Any]] = field(default_factory=list)
+    eras: list[int] = field(default_factory=list)
 
 
 @message("items")
@@ -91,6 +98,7 @@
 
     items: list[list[Any]] = field(default_factory=list)
     wanted: list[str] = field(default_factory=list)
+    eras: list[int] = field(default_factory=list)
 
 
 @message("join")
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -122,6 +122,19 @@
 REGISTRY_AGE = Gauge(
     "firtrestle_registry_age_seconds", "Age of what is known of the registry", registry=REGISTRY
 )
+REGISTRY_ERA = Gauge(
+    "firtrestle_registry_era", "Newest era of the registry that is known", registry=REGISTRY
+)
+REGISTRY_RESTORES = Gauge(
+    "firtrestle_registry_restores",
+    "Times that the registry was read again as another era of it was known, since the start",
+    registry=REGISTRY,
+)
+ROWS_OF_OTHER_ERAS = Gauge(
+    "firtrestle_registry_rows_of_other_eras",
+    "Registrations of peers that were refused as their revisions are of other eras",
+    registry=REGISTRY,
+)
 ROUTES_AGE = Gauge(
     "firtrestle_routes_age_seconds",
     "Time since the routes came into force",
--- a/packages/firtrestle/firtrestle/registry_readers.py
+++ b/packages/firtrestle/firtrestle/registry_readers.py
@@ -13,6 +13,7 @@
 
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.members import Member, Members
+from firtrestle.registry_eras import RegistryEras
 from firtrestle.rendezvous import rank
 
 READER_RANK_KEY = "reader/registry"
@@ -34,9 +35,12 @@
 
 @dataclass(slots=True)
 class _PartProgress:
-    """Record up to which revision all changes of one part are known here, and since when."""
+    """Record up to which revision all changes of one part are known here, and since when.
 
-    revision: int
+    The revision is None while the part must be read completely.
+    """
+
+    revision: int | None
     known_at: Millis
     needs_proof: bool = False  # a read failed, and none has succeeded since
 
@@ -44,7 +48,11 @@
 class RegistryProgress:
     """Track up to which revision this daemon knows all changes of each part of a registry."""
 
-    def __init__(self, clock: Clock, expected: frozenset[str]) -> None:
+    def __init__(
+        self, clock: Clock, expected: frozenset[str], eras: RegistryEras | None = None
+    ) -> None:
+        self.eras = eras or RegistryEras()
+        self.eras.add_listener(self._on_restored)
         self._clock = clock
         self._expected = expected
         self._part_by_name: dict[str, _PartProgress] = {}
@@ -58,7 +66,7 @@
     def advance(self, name: str, revision: int) -> None:
         """Record that all changes of a part up to a revision are known."""
         part = self._part_by_name.get(name)
-        newest = max(revision, part.revision) if part is not None else revision
+        newest = max(revision, part.revision or 0) if part is not None else revision
         self._part_by_name[name] = _PartProgress(newest, self._clock.now())
         self._update_complete()
 
@@ -102,6 +110,7 @@
         return {
             name: [part.revision, round(self._age_of(part))]
             for name, part in self._part_by_name.items()
+            if part.revision is not None
         }
 
     def merge(self, reported: dict[str, Any], asked_at: Millis) -> None:
@@ -118,11 +127,17 @@
             part = self._part_by_name.get(name)
             if part is None:
                 self._part_by_name[name] = _PartProgress(revision, known_at)
-            elif revision >= part.revision:
+            elif part.revision is None or revision >= part.revision:
                 part.revision = revision
                 part.known_at = max(part.known_at, known_at)
         self._update_complete()
 
+    def _on_restored(self) -> None:
+        """Require a complete read of all parts, whose revisions are those of an earlier era."""
+        for part in self._part_by_name.values():
+            part.revision = None
+            part.needs_proof = False
+
     def _age_of(self, part: _PartProgress) -> Millis:
         return Millis(max(0.0, self._clock.now() - part.known_at))
 
--- a/packages/firtrestle/firtrestle/registry_watches.py
+++ b/packages/firtrestle/firtrestle/registry_watches.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from firtrestle.clocks import Millis, sleep
+from firtrestle.registry_eras import EraSpan
 from firtrestle.route_sources import SourceTools
 from firtrestle.settings import RouteSettings
 
@@ -36,8 +37,8 @@
 class RegistryUpdates:
     """Represent the items of a read or watch, complete up to a revision of the registry.
 
-    Revisions are given out again after the registry was restored from a copy, which its next era
-    tells; the era is None if the registry names none.
+    Revisions are given out again after the registry was restored from a copy, which begins its
+    next era; the era is None if the answer's could not be read.
     """
 
     items: tuple[RegistryItem, ...]
@@ -47,7 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RegistryFailure:
-    """Report a failed call; after `history_gone` the whole part must be read again."""
+    """Report a call that failed or whose answer is of no use.
+
+    After `history_gone` the whole part must be read again.
+    """
 
     reason: str
     history_gone: bool = False
@@ -104,7 +108,8 @@
             await self._reader_role.wait_active()
             revision = self._progress.revision(self._name)
             started_at = self._clock.now()
-            result = await self._read(revision)
+            span = self._progress.eras.span
+            result = self._check_era(await self._read(revision), span, revision is None)
             self._note_reachable(result)
             if isinstance(result, RegistryFailure):
                 self._log_failed_read(result, started_at)
@@ -121,6 +126,25 @@
             if result.items:
                 await sleep(BATCH_DELAY)
 
+    def _check_era(
+        self, result: RegistryResult, span: EraSpan | None, is_complete_read: bool
+    ) -> RegistryResult:
+        """Return a result, or why it is of no use in the eras that are known now.
+
+        `span` are those known when the call was made: changes after a revision are of use only
+        while that revision's era lasts.
+        """
+        if isinstance(result, RegistryFailure):
+            return result
+        eras = self._progress.eras
+        if result.era is not None:
+            if eras.is_past(result.era):
+                return RegistryFailure(f"answer of era {result.era}, a later one is known")
+            eras.observe(result.era)
+        if span is not None and eras.span != span and not is_complete_read:
+            return RegistryFailure("the registry was restored", history_gone=True)
+        return result
+
     async def _read(self, revision: int | None) -> RegistryResult:
         """Read the whole part, or wait for changes after a revision."""
         if revision is None:
@@ -148,8 +172,12 @@
         """Check the part each time its knowledge has aged, until a check fails or finds changes."""
         while True:
             await self._reader_role.wait_check_due(self._name)
-            revision = self._progress.revision(self._name) or 0
+            revision = self._progress.revision(self._name)
+            if revision is None:
+                return RegistryFailure("the registry was restored", history_gone=True)
+            span = self._progress.eras.span
             result = await self._checker.watch(self._name, revision, CHECK_WAIT, CHECK_TIMEOUT)
+            result = self._check_era(result, span, is_complete_read=False)
             if isinstance(result, RegistryFailure) or result.items:
                 self._log_given_up(result)
                 return result
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -83,7 +83,7 @@
         source = kernel.sources.get(settings.routes.source)
         caller_codec, instance_codec = kernel.codecs[settings.routes.source]
         self._clients = PeerClients(nursery)
-        self._progress = RegistryProgress(clock, source.parts)
+        self._progress = RegistryProgress(clock, source.parts, self._gossiper.eras)
         self._members = Members(
             Members.me_from_config(settings.daemon, self.incarnation),
             settings.peers,
@@ -130,6 +130,7 @@
             self._departures,
             self._withdraw_waiting,
             self._crashes.record_instance_lost,
+            Millis(settings.routes.check_in_ms),
         )
         self._fault_probes = FaultProbes(
             self._uplink,
@@ -369,6 +370,10 @@
         metrics.REVISION.set(self.state.table.version)
         metrics.ROUTES_AGE.set(routes_age / MILLIS_PER_SECOND)
         metrics.REGISTRY_AGE.set(self._progress.age() / MILLIS_PER_SECOND)
+        eras = self._progress.eras
+        metrics.REGISTRY_ERA.set(eras.span.newest if eras.span is not None else 0)
+        metrics.REGISTRY_RESTORES.set(eras.restores)
+        metrics.ROWS_OF_OTHER_ERAS.set(eras.refused_rows)
         metrics.PLATFORM_READS.set(self._source.status()["calls"])
         metrics.RUNNING.set(self.state.running)
         for task, count in faults.count_by_task.items():
@@ -413,6 +418,7 @@
             "running": self.state.running,
             "instances": self.instances.count(),
             "connections": self._pools.open_connections,
+            "registry_eras": self._progress.eras.to_wire(),
             "members": {m.id: m.status.name.lower() for m in self._members.by_id.values()},
             "uplink": str(self._uplink.state),
             "opens_connections": self._uplink.opens,
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -11,15 +11,15 @@
 from loguru import logger
 
 from firtrestle.clocks import Clock, Millis
-from firtrestle.gossip_maps import GossipMap, Item
-from firtrestle.instances import Instance, Instances
+from firtrestle.gossip_maps import ERA_BOUND_PREFIX, GossipMap, Item
+from firtrestle.instances import EARLIER_ERA_REVISION, Instance, Instances
 from firtrestle.messages import Ping, Pong
 from firtrestle.registry_readers import ReaderRole, RegistryProgress, reported_revision
 from firtrestle.routes import RouteTable
 from firtrestle.settings import Settings
 
 ROUTES_KEY = "routes"
-INSTANCE_PREFIX = "instance/"
+INSTANCE_PREFIX = ERA_BOUND_PREFIX
 MAX_ROUTES_BYTES = 16_000_000  # uncompressed; no operator writes a larger desired state
 ZLIB_LEVEL = 1  # the fastest; pays off, as desired states are repetitive and links slow
 
@@ -93,6 +93,7 @@
         items.add_validator(ROUTES_KEY, self._is_usable_routes)
         items.add_listener(INSTANCE_PREFIX, self._on_instance)
         items.add_listener(ROUTES_KEY, self._on_routes)
+        progress.eras.add_listener(self._on_restored)
 
     def start(self, parse: Callable[[str], RouteTable | ParseFailure]) -> None:
         """Accept desired states from now on, decoded with a source's parser."""
@@ -144,7 +145,7 @@
         An instance that the peer lacks was removed if the peer knows all changes up to a later
         revision.
         """
-        if self._has_changed_since(ping, pong):
+        if not self._progress.eras.are_shared_by(pong.eras) or self._has_changed_since(ping, pong):
             return
         known_revision = reported_revision(pong.progress, self._instances_part)
         for key, stamp in self._items.stamps_in(pong.buckets).items():
@@ -179,6 +180,11 @@
         known_revision = self._progress.revision(self._instances_part) or 0
         return not value or is_registered or stamp > known_revision
 
+    def _on_restored(self) -> None:
+        """Let what is read from now on override all that was known by revision."""
+        self._items.restamp(INSTANCE_PREFIX, EARLIER_ERA_REVISION)
+        self._instances.begin_era()
+
     def _on_instance(self, key: str, item: Item) -> None:
         instance_id = key.removeprefix(INSTANCE_PREFIX)
         if item.value:
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -155,6 +155,9 @@
         ge=100,
         description="time in which an instance that announced its departure takes requests, ms",
     )
+    check_in_ms: float = Field(
+        1_200, gt=0, description="interval at which an instance renews its registration, ms"
+    )
     watch_ms: int = Field(
         12_000,
         ge=100,
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -123,3 +123,112 @@
     instances.put(instance("restarted", born=1), 3)
     instances.put(instance("restarted", born=2), 4)
     assert lost == [instance("removed").replica_id, instance("restarted").replica_id]
+
+
+def test_a_registration_after_a_restore_wins_at_any_revision():
+    instances, _, _ = build()
+    instances.put(instance(born=1), 50)
+    instances.remove("gone", 60)
+    instances.begin_era()
+    assert instances.put(instance(born=2), 4)
+    assert instances.put(instance("gone"), 5)
+    assert instances.serving("s") == (instance(born=2), instance("gone"))
+
+
+# Guards against a drain that is written at a revision given out before being taken for old news.
+def test_a_drain_after_a_restore_holds_at_any_revision():
+    instances, _, _ = build()
+    instances.put(instance(), 50)
+    instances.begin_era()
+    instances.put(instance(), 3)
+    instances.put(instance(draining=True), 4)
+    assert instances.serving("s") == ()
+
+
+def test_an_instance_that_a_copy_lacks_serves_until_it_should_have_registered_again():
+    instances, clock, _ = build()
+    instances.put(instance(), 50)
+    instances.begin_era()
+    instances.remove("a", 9)
+    assert instances.serving("s") == (instance(),)
+    clock.at += LAPSE_GRACE - 1
+    instances.expire()
+    assert instances.serving("s") == (instance(),)
+    clock.at += 1
+    instances.expire()
+    assert instances.serving("s") == ()
+
+
+# Guards against instances that a copy lacks making the removals after them look like an outage.
+def test_removals_by_a_copy_delay_no_later_ones():
+    instances, _, _ = build()
+    for number in range(20):
+        instances.put(instance(f"i{number}"), 50 + number)
+    instances.begin_era()
+    for number in range(10):
+        instances.put(instance(f"i{number}"), number + 1)
+    for number in range(10, 20):
+        instances.remove(f"i{number}", 11)
+    instances.remove("i3", 12)
+    assert instance("i3") not in instances.serving("s")
+
+
+def test_an_instance_known_to_drain_is_not_used_as_a_copy_has_it_ready():
+    instances, clock, _ = build()
+    instances.put(instance(draining=True), 50)
+    instances.begin_era()
+    assert instances.put(instance(), 5)
+    assert instances.serving("s") == ()
+    assert not instances.put(instance(draining=True), 5)
+    instances.put(instance(draining=True), 6)
+    clock.at += 60_000
+    instances.expire()
+    assert instances.serving("s") == ()
+
+
+def test_a_removed_instance_that_a_copy_holds_is_used_once_it_outlives_its_expiry():
+    instances, clock, _ = build()
+    instances.put(instance(), 50)
+    instances.remove("a", 51)
+    clock.at += 100
+    instances.begin_era()
+    instances.put(instance(), 5)
+    assert instances.serving("s") == ()
+    clock.at += 60_000
+    instances.expire()
+    assert instances.serving("s") == (instance(),)
+
+
+def test_a_removal_discards_what_a_copy_held():
+    instances, clock, _ = build()
+    instances.put(instance(), 50)
+    instances.remove("a", 51)
+    instances.begin_era()
+    instances.put(instance(), 5)
+    instances.remove("a", 6)
+    clock.at += 60_000
+    instances.expire()
+    assert instances.count() == 0
+
+
+def test_a_later_lifetime_stays_in_use_while_a_copy_holds_an_earlier_one():
+    instances, clock, _ = build()
+    instances.put(instance(born=2), 50)
+    instances.begin_era()
+    instances.put(instance(born=1), 5)
+    assert instances.serving("s") == (instance(born=2),)
+    instances.put(instance(born=2), 6)
+    clock.at += 60_000
+    instances.expire()
+    assert instances.serving("s") == (instance(born=2),)
+
+
+def test_a_barred_instance_is_not_used_again_as_a_copy_holds_it():
+    instances, _, _ = build()
+    instances.put(instance(), 50)
+    instances.bar(instance().replica_id)
+    instances.begin_era()
+    instances.put(instance(), 5)
+    assert instances.serving("s") == ()
+    instances.put(instance(), 6)
+    assert instances.serving("s") == (instance(),)
--- a/packages/firtrestle/tests/test_registry_models.py
+++ b/packages/firtrestle/tests/test_registry_models.py
@@ -1,7 +1,7 @@
 """Model check: a daemon that reports all changes up to a revision as known holds them.
 
 Simulated daemons continue reading a registry at their last revision, push changes or lose them,
-exchange pings and repairs, and restart. There is no network.
+exchange pings and repairs, and restart. The registry is restored from copies. There is no network.
 """
 
 import random
@@ -11,6 +11,7 @@
 from firtrestle.gossip_maps import Gossiper, GossipMap
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping
+from firtrestle.registry_eras import RegistryEras
 from firtrestle.registry_readers import RegistryProgress
 from firtrestle.route_sources import INSTANCE_PREFIX, ParseFailure, SourcePublisher
 from firtrestle.routes import RouteTable
@@ -27,23 +28,25 @@
 class Daemon:
     def __init__(self, clock, rng) -> None:
         self.items = GossipMap()
-        self.gossiper = Gossiper(self.items, 3, rng, clock)
+        self.eras = RegistryEras()
+        self.gossiper = Gossiper(self.items, 3, rng, clock, self.eras)
         departures = Departures(GossipMap(), clock, Millis(3_000))
         self.instances = Instances(clock, lambda gone: None, departures)
         self.applied = []
-        self.progress = RegistryProgress(clock, frozenset({PART}))
+        self.progress = RegistryProgress(clock, frozenset({PART}), self.eras)
         self.publisher = SourcePublisher(
             self.items, self.instances, self.progress, PART, self.applied.append
         )
         self.publisher.start(lambda text: RouteTable(int(text)) if text else ParseFailure("empty"))
 
     def ping(self, other: "Daemon", asked_at: Millis) -> None:
-        ping = Ping("d", list(self.items.digest))
+        ping = Ping("d", list(self.items.digest), self.eras.to_wire())
         pong = other.gossiper.serve_ping(ping)
         pong.progress = other.progress.to_wire()
         repair = self.gossiper.repair_for(pong)
         if repair is not None:
-            self.items.put_rows(other.gossiper.serve_pull(repair).items)
+            answer = other.gossiper.serve_pull(repair)
+            self.gossiper.store_rows(answer.items, answer.eras)
         self.publisher.synchronize(ping, pong, asked_at)
 
 
@@ -56,6 +59,10 @@
         self.version = 1
         self.events = []  # (revision, id, instance or None)
         self.current = {}
+        self.era = 1
+        self.events_by_era = {1: self.events}
+        self.copy = (self.revision, [], {})
+        self.late_pushes = []  # (receiver, rows, eras of the sender)
         self.daemons = [Daemon(self.clock, self.rng) for _ in range(4)]
 
     @rule(name=IDS, draining=st.booleans(), born=st.integers(1, 3))
@@ -70,9 +77,21 @@
             self.revision += 1
             self.events.append((self.revision, name, None))
 
+    @rule()
+    def take_copy(self):
+        self.copy = (self.revision, list(self.events), dict(self.current))
+
+    @rule()
+    def restore(self):
+        self.revision, events, current = self.copy
+        self.era += 1
+        self.events, self.current = list(events), dict(current)
+        self.events_by_era[self.era] = self.events
+
     @rule(number=DAEMONS)
     def watch(self, number):
         daemon = self.daemons[number]
+        daemon.eras.observe(self.era)
         after = daemon.progress.revision(PART)
         if after is None:
             self.read_completely(daemon)
@@ -84,6 +103,7 @@
 
     @rule(number=DAEMONS)
     def lose_history(self, number):
+        self.daemons[number].eras.observe(self.era)
         self.daemons[number].progress.forget(PART)
         self.read_completely(self.daemons[number])
 
@@ -100,11 +120,21 @@
         else:
             daemon.publisher.publish_instance(instance, revision)
 
-    @rule(number=DAEMONS, other=DAEMONS, lost=st.booleans())
-    def push(self, number, other, lost):
+    @rule(number=DAEMONS, other=DAEMONS, lost=st.booleans(), late=st.booleans())
+    def push(self, number, other, lost, late):
+        eras = self.daemons[number].eras.to_wire()
         rows = self.daemons[number].items.take_changed()
-        if not lost and number != other:
-            self.daemons[other].items.put_rows(rows)
+        if lost or number == other:
+            return
+        self.late_pushes.append((other, rows, eras))
+        if not late:
+            self.deliver_late_pushes()
+
+    @rule()
+    def deliver_late_pushes(self):
+        pushes, self.late_pushes = self.late_pushes, []
+        for other, rows, eras in pushes:
+            self.daemons[other].gossiper.store_rows(rows, eras)
 
     @rule(number=DAEMONS, other=DAEMONS)
     def ping(self, number, other):
@@ -130,8 +160,9 @@
     def changes_up_to_the_reported_revision_are_held(self):
         for daemon in self.daemons:
             known = daemon.progress.revision(PART) or 0
+            era = daemon.eras.span.newest if daemon.eras.span is not None else self.era
             last = {}
-            for revision, name, instance in self.events:
+            for revision, name, instance in self.events_by_era[era]:
                 if revision <= known:
                     last[name] = (revision, instance)
             for name, (revision, instance) in last.items():
@@ -143,6 +174,18 @@
                     held = Instance(name, *item.value) if item.value else None
                     assert held == instance, f"{name} differs from the registry at revision {known}"
 
+    def teardown(self):
+        """Check that all hold just what is registered once all have read and exchanged it."""
+        for _ in range(3):
+            for number in range(len(self.daemons)):
+                self.watch(number)
+                for other in range(len(self.daemons)):
+                    self.ping(number, other)
+        self.wait(60_000)
+        for daemon in self.daemons:
+            held = {instance.id: instance for instance in daemon.instances.all()}
+            assert held == self.current
+
     @invariant()
     def applied_versions_only_increase(self):
         for daemon in self.daemons:
--- a/packages/firtrestle/tests/test_registry_watches.py
+++ b/packages/firtrestle/tests/test_registry_watches.py
@@ -29,6 +29,7 @@
         self.calls = 0
         self.is_silent = False
         self.drops_watches = False  # long polls get no answer, short reads do
+        self.era = 0
         self.changed = trio.Event()
 
     def change(self):
@@ -38,7 +39,12 @@
 
     def updates(self, after):
         items = (RegistryItem(PART, b"", self.revision),) if self.revision > after else ()
-        return RegistryUpdates(items, self.revision)
+        return RegistryUpdates(items, self.revision, self.era)
+
+    def restore(self, revision):
+        """Go on at a revision in the next era; open watches stay silent until a change."""
+        self.era += 1
+        self.revision = revision
 
     async def answer(self, after, wait):
         self.calls += 1
@@ -85,7 +91,7 @@
         clock = Clock()
         rng = random.Random(name)
         self.me = Member(name, 1, MemberStatus.ALIVE, "a", "h", 1, 2)
-        self.held = 0
+        self.held = (0, 0)  # the era and the revision of the newest answer
         self.progress = RegistryProgress(clock, frozenset({PART}))
         self.role = ReaderRole(
             self.progress, FakeMembers(self.me, fleet), clock, rng, lambda is_reachable: None
@@ -96,9 +102,12 @@
         )
 
     def publish(self, updates, is_complete_read):
-        self.held = max(self.held, updates.revision)
+        self.held = max(self.held, (updates.era, updates.revision))
 
     def learn(self, other):
+        self.progress.eras.learn(other.progress.eras.to_wire())
+        if not self.progress.eras.are_shared_by(other.progress.eras.to_wire()):
+            return
         self.held = max(self.held, other.held)
         self.progress.merge(other.progress.to_wire(), Clock().now())
 
@@ -115,11 +124,11 @@
     return registry, daemons
 
 
-async def time_until_held(daemons, revision):
-    """Return after how many ms all daemons hold a revision."""
+async def time_until_held(daemons, registry):
+    """Return after how many ms all daemons hold the registry's revision."""
     started_at = Clock().now()
     with trio.fail_after(60):
-        while min(daemon.held for daemon in daemons) < revision:
+        while min(daemon.held for daemon in daemons) < (registry.era, registry.revision):
             await sleep(Millis(10))
     return Clock().now() - started_at
 
@@ -136,7 +145,7 @@
     await sleep(Millis(silent_for))
     registry.is_silent = False
     registry.change()
-    assert await time_until_held(daemons, registry.revision) <= 3_000
+    assert await time_until_held(daemons, registry) <= 3_000
 
 
 # Guards against open connections that stay silent without a reset while new calls are answered.
@@ -145,7 +154,7 @@
     registry.drops_watches = True
     for _ in range(5):
         registry.change()
-        assert await time_until_held(daemons, registry.revision) <= 3_000
+        assert await time_until_held(daemons, registry) <= 3_000
         await sleep(Millis(1_000))
     assert sum(daemon.follower.watches_given_up for daemon in daemons) >= 5
 
@@ -178,5 +187,50 @@
     first.follower._watcher.registry.is_silent = True
     for _ in range(5):
         registry.change()
-        assert await time_until_held(daemons, registry.revision) <= 3_000
+        assert await time_until_held(daemons, registry) <= 3_000
         await sleep(Millis(3_000))
+
+
+# Guards against a restore that no watch reports: revisions go back, and soon pass the known ones.
+@pytest.mark.parametrize("revision", [1, 50, 51, 90])
+async def test_a_restore_is_noticed_by_all_within_3_s_at_any_revision(
+    autojump_clock, fleet, revision
+):
+    registry, daemons = fleet
+    registry.revision = 50
+    registry.change()
+    assert await time_until_held(daemons, registry) <= 3_000
+    registry.restore(revision)
+    assert await time_until_held(daemons, registry) <= 3_000
+    assert {daemon.progress.revision(PART) for daemon in daemons} == {revision}
+    registry.change()
+    assert await time_until_held(daemons, registry) <= 3_000
+
+
+async def test_two_restores_within_a_second_are_noticed_by_all(autojump_clock, fleet):
+    registry, daemons = fleet
+    registry.restore(5)
+    await sleep(Millis(600))
+    registry.restore(3)
+    assert await time_until_held(daemons, registry) <= 3_000
+    assert {tuple(daemon.progress.eras.to_wire()) for daemon in daemons} == {(0, 2)}
+
+
+# Guards against an answer of the era before, which comes late, being taken for news.
+async def test_an_answer_of_an_earlier_era_is_a_failed_read(autojump_clock, fleet):
+    registry, daemons = fleet
+    registry.restore(9)
+    assert await time_until_held(daemons, registry) <= 3_000
+    registry.era -= 1
+    registry.revision = 70
+    await sleep(Millis(3_000))
+    assert {daemon.progress.revision(PART) for daemon in daemons} == {9}
+
+
+async def test_knowledge_keeps_its_age_while_a_part_is_read_again(autojump_clock, fleet):
+    registry, daemons = fleet
+    progress = daemons[0].progress
+    age_before = progress.age()
+    progress.eras.observe(5)
+    assert progress.revision(PART) is None
+    assert progress.age() == age_before
--- a/packages/firtrestle/tests/test_route_sources.py
+++ b/packages/firtrestle/tests/test_route_sources.py
@@ -1,12 +1,14 @@
 import json
 import random
 
+import pytest
 import trio
 from firtrestle.clocks import Clock, Millis
 from firtrestle.departures import Departures
 from firtrestle.gossip_maps import Gossiper, GossipMap
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping
+from firtrestle.registry_eras import RegistryEras
 from firtrestle.registry_readers import RegistryProgress
 from firtrestle.route_sources import ParseFailure, SourcePublisher
 from firtrestle.routes import RouteTable
@@ -25,27 +27,37 @@
     def __init__(self) -> None:
         clock = Clock()
         self.items = GossipMap()
-        self.gossiper = Gossiper(self.items, 3, random.Random(1), clock)
+        self.eras = RegistryEras()
+        self.gossiper = Gossiper(self.items, 3, random.Random(1), clock, self.eras)
         departures = Departures(GossipMap(), clock, Millis(3_000))
         self.instances = Instances(clock, lambda gone: None, departures)
         self.applied = []
-        self.progress = RegistryProgress(clock, frozenset({PART}))
+        self.progress = RegistryProgress(clock, frozenset({PART}), self.eras)
         self.publisher = SourcePublisher(
             self.items, self.instances, self.progress, PART, self.applied.append
         )
         self.publisher.start(parse)
 
     def ping(self, other: "Daemon") -> None:
-        ping = Ping("d", list(self.items.digest))
+        ping = Ping("d", list(self.items.digest), self.eras.to_wire())
         pong = other.gossiper.serve_ping(ping)
         pong.progress = other.progress.to_wire()
         repair = self.gossiper.repair_for(pong)
         if repair is not None:
-            self.items.put_rows(other.gossiper.serve_pull(repair).items)
+            answer = other.gossiper.serve_pull(repair)
+            self.gossiper.store_rows(answer.items, answer.eras)
         self.publisher.synchronize(ping, pong, Millis(0))
 
-    def receive_all_from(self, other: "Daemon") -> None:
-        self.items.put_rows(other.items.rows(list(other.items.by_key)))
+    def receive_all_from(self, other: "Daemon", eras: list[int] | None = None) -> None:
+        rows = other.items.rows(list(other.items.by_key))
+        self.gossiper.store_rows(rows, other.eras.to_wire() if eras is None else eras)
+
+    def read_completely(self, era: int, revision: int, **revision_by_id: int) -> None:
+        self.eras.observe(era)
+        for name, registered_at in revision_by_id.items():
+            self.publisher.publish_instance(instance(name), registered_at, is_complete_read=True)
+        self.publisher.retain_instances(set(revision_by_id), revision)
+        self.progress.advance(PART, revision)
 
 
 def instance(name="a", draining=False):
@@ -169,3 +181,73 @@
     between.ping(restored)
     assert restored.instances.serving("s") == (instance("a"),)
     assert between.instances.serving("s") == (instance("a"),)
+
+
+# Guards against the claim of a daemon that has not heard of a restore removing instances (CONFIG).
+async def test_a_peer_of_an_earlier_era_removes_nothing_and_learns_of_the_restore():
+    reader, late = Daemon(), Daemon()
+    for daemon in (reader, late):
+        daemon.read_completely(1, 15, a=3)
+    reader.read_completely(2, 9, a=3, d=7)
+    reader.ping(late)
+    assert reader.instances.ids() == {"a", "d"}
+    assert reader.progress.revision(PART) == 9
+    assert late.eras.to_wire() == [1, 2]
+    assert late.progress.revision(PART) is None
+    late.ping(reader)
+    late.ping(reader)
+    assert late.instances.ids() == {"a", "d"}
+    assert late.progress.revision(PART) == 9
+
+
+async def test_rows_that_were_sent_before_a_restore_was_known_are_refused():
+    reader, late = Daemon(), Daemon()
+    late.read_completely(1, 15, a=3)
+    late.publisher.remove_instance("d", 14)
+    reader.read_completely(1, 5, a=3)
+    reader.read_completely(2, 9, a=3, d=7)
+    reader.receive_all_from(late)
+    assert reader.instances.ids() == {"a", "d"}
+    assert reader.eras.refused_rows == 2
+
+
+async def test_rows_of_a_later_era_begin_it_here():
+    reader, late = Daemon(), Daemon()
+    for daemon in (reader, late):
+        daemon.read_completely(1, 15, a=12)
+    reader.read_completely(2, 9, a=3, d=7)
+    late.receive_all_from(reader)
+    assert late.instances.ids() == {"a", "d"}
+    assert late.progress.revision(PART) is None
+
+
+# Guards against an upgrade at any first era; builds before it name no eras.
+@pytest.mark.parametrize("era", [0, 1, 3])
+async def test_a_peer_that_names_no_eras_is_heard_without_a_restore(era):
+    earlier, daemon = Daemon(), Daemon()
+    earlier.publisher.publish_instance(instance("a"), 5)
+    daemon.read_completely(era, 4)
+    daemon.receive_all_from(earlier, eras=[])
+    assert daemon.instances.ids() == {"a"}
+
+
+async def test_a_peer_that_names_no_eras_is_not_heard_after_a_restore():
+    earlier, daemon = Daemon(), Daemon()
+    earlier.publisher.publish_instance(instance("a"), 15)
+    daemon.read_completely(1, 4)
+    daemon.read_completely(2, 4)
+    daemon.receive_all_from(earlier, eras=[])
+    assert daemon.instances.ids() == set()
+
+
+async def test_a_daemon_that_starts_after_a_restore_takes_over_the_eras_of_its_peers():
+    running, started = Daemon(), Daemon()
+    running.read_completely(1, 20, a=15)
+    running.read_completely(2, 9, a=3, d=7)
+    started.read_completely(2, 8, a=3)
+    running.ping(started)
+    assert running.instances.ids() == {"a", "d"}
+    started.ping(running)
+    started.ping(running)
+    assert started.instances.ids() == {"a", "d"}
+    assert started.progress.revision(PART) == 9
