--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -145,18 +145,30 @@
         self._bounds = server.bounds
         self._stream = stream
         self._method = ""
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._bounds.max_head_bytes
-        )
+        self._http = self._build_parser()
 
     async def run(self) -> None:
         while await self._serve_request():
             self._http.start_next_cycle()
 
+    def _build_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._bounds.max_head_bytes)
+
+    def _use_bounds_in_force(self) -> None:
+        """Bound the request that begins by the server's bounds of this moment."""
+        if self._bounds == self._server.bounds:
+            return
+        self._bounds = self._server.bounds
+        unread, _ = self._http.trailing_data
+        self._http = self._build_parser()  # the size of a head is fixed in a parser
+        if unread:
+            self._http.receive_data(unread)
+
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection can be reused."""
         if not await self._wait_for_first_byte():
             return False
+        self._use_bounds_in_force()
         try:
             with move_on_after(self._bounds.read_timeout) as scope:
                 request = await self._read_bounded_request(scope)
@@ -183,17 +195,26 @@
             return True
         if not self._server.idle_allowed:
             return False
-        with move_on_after(self._bounds.idle_timeout) as scope:
-            self._server._idle_scopes.add(scope)
-            try:
-                data = await self._stream.receive_some(READ_BYTES)
-            finally:
-                self._server._idle_scopes.discard(scope)
-        if scope.cancelled_caught or not data:
+        data = await self._receive_while_idle()
+        if not data:
             return False
         self._http.receive_data(data)
         return True
 
+    async def _receive_while_idle(self) -> bytes | None:
+        """Return the next bytes, or None if there are none within the idle timeout in force."""
+        waited = Millis(0)
+        while self._server.idle_allowed and waited < self._server.bounds.idle_timeout:
+            wait = Millis(self._server.bounds.idle_timeout - waited)
+            with move_on_after(wait) as scope:
+                self._server._idle_scopes.add(scope)
+                try:
+                    return await self._stream.receive_some(READ_BYTES)
+                finally:
+                    self._server._idle_scopes.discard(scope)
+            waited = Millis(waited + wait)
+        return None
+
     async def _read_bounded_request(self, scope: trio.CancelScope) -> HttpRequest | Refused | None:
         """Read one request, or refuse one whose body exceeds a bound."""
         limit = self._bounds.max_body_bytes
--- a/packages/firtrestle/tests/test_http_servers.py
+++ b/packages/firtrestle/tests/test_http_servers.py
@@ -152,3 +152,59 @@
     )
     assert b"HTTP/1.1 503" in received
     assert memory.used_bytes == 0
+
+
+async def receive_response(client: trio.abc.ReceiveStream) -> bytes:
+    received = b""
+    while b"}" not in received:
+        chunk = await client.receive_some(65_536)
+        assert chunk, received
+        received += chunk
+    return received
+
+
+# Guards against a connection keeping the bounds of an older desired state (DENIED).
+async def test_kept_connections_use_the_bounds_in_force(autojump_clock, nursery):
+    small = HttpBounds(100, Millis(1_000), Millis(2_000), max_head_bytes=200)
+    server = HttpServer(RecordingHandler().handle, small)
+    client, server_side = memory_stream_pair()
+    nursery.start_soon(server.serve, server_side)
+    await client.send_all(GET)
+    assert b"HTTP/1.1 200" in await receive_response(client)
+    server.bounds = HttpBounds(300, Millis(1_000), Millis(2_000), max_head_bytes=1_000)
+    head = b"POST /a HTTP/1.1\r\nHost: x\r\nX-Long: " + b"x" * 500 + b"\r\nContent-Length: 200"
+    await client.send_all(head + b"\r\n\r\n" + b"x" * 200)
+    assert b"HTTP/1.1 200" in await receive_response(client)
+    server.bounds = small
+    await client.send_all(head.replace(b"x" * 500, b"") + b"\r\n\r\n" + b"x" * 200)
+    assert b"HTTP/1.1 413" in await receive_response(client)
+
+
+async def test_pipelined_requests_survive_a_change_of_the_bounds(autojump_clock, nursery):
+    handler = RecordingHandler()
+    server = HttpServer(handler.handle, HttpBounds(100, Millis(1_000), Millis(2_000)))
+    client, server_side = memory_stream_pair()
+    nursery.start_soon(server.serve, server_side)
+    await client.send_all(GET)
+    await receive_response(client)
+    server.bounds = HttpBounds(300, Millis(1_000), Millis(2_000))
+    await client.send_all(GET + GET)
+    received = b""
+    while received.count(b"HTTP/1.1 200") < 2:
+        received += await receive_response(client)
+    assert len(handler.requests) == 3
+
+
+async def test_a_raised_idle_timeout_holds_for_a_connection_that_is_idle(autojump_clock, nursery):
+    server = HttpServer(RecordingHandler().handle, HttpBounds(100, Millis(1_000), Millis(2_000)))
+    client, server_side = memory_stream_pair()
+    nursery.start_soon(server.serve, server_side)
+    await client.send_all(GET)
+    await receive_response(client)
+    await trio.sleep(1)
+    server.bounds = HttpBounds(100, Millis(1_000), Millis(10_000))
+    await trio.sleep(7)
+    await client.send_all(GET)
+    assert b"HTTP/1.1 200" in await receive_response(client)
+    await trio.sleep(11)
+    assert await client.receive_some(10) == b""
