--- a/packages/firtrestle/firtrestle/gossip_maps.py
+++ b/packages/firtrestle/firtrestle/gossip_maps.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import trio
+from loguru import logger
 
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.hashing import hash32
@@ -188,10 +189,17 @@
         self.eras.learn(eras)
         if not self.eras.are_shared_by(eras):
             kept = [row for row in rows if not (row and _is_era_bound(row[0]))]
-            self.eras.refused_rows += len(rows) - len(kept)
+            self._count_refused(len(rows) - len(kept), eras)
             rows = kept
         self.items.put_rows(rows)
 
+    def _count_refused(self, count: int, eras: list[int]) -> None:
+        if count:
+            self.eras.refused_rows += count
+            logger.bind(rows=count, peer_eras=eras, eras=self.eras.to_wire()).debug(
+                "registrations of a peer refused, their revisions are of other eras"
+            )
+
     def _should_request(self, key: str, stamp: int) -> bool:
         """Return whether to ask for an announced item; one peer at a time is asked."""
         current = self.items.by_key.get(key)
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -145,7 +145,13 @@
         An instance that the peer lacks was removed if the peer knows all changes up to a later
         revision.
         """
-        if not self._progress.eras.are_shared_by(pong.eras) or self._has_changed_since(ping, pong):
+        eras = self._progress.eras
+        if not eras.are_shared_by(pong.eras):
+            logger.bind(peer_eras=pong.eras, eras=eras.to_wire()).debug(
+                "progress of a peer ignored, its revisions are of other eras"
+            )
+            return
+        if self._has_changed_since(ping, pong):
             return
         known_revision = reported_revision(pong.progress, self._instances_part)
         for key, stamp in self._items.stamps_in(pong.buckets).items():
