Drop a lapsed instance as soon as its grace period ends (DRAIN)

Cause: a removal that may be a lapse is kept for 2.5 s; up to 0.5 s until the next housekeeping, and 0.25 s of a reader that collects changes, came on top. Change: the end of the grace period is awaited for each lapse.

--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -69,13 +69,18 @@
         on_draining: Callable[[Instance], None] = lambda instance: None,
         on_lost: Callable[[ReplicaId], None] = lambda replica_id: None,
         check_in_interval: Millis = CHECK_IN_INTERVAL,
+        on_lapsed: Callable[[], None] = lambda: None,
     ) -> None:
-        """Prepare; `on_lost` is called for instances that ended without having announced it."""
+        """Prepare; `on_lost` is called for instances that ended without having announced it.
+
+        `on_lapsed` is called as an instance lapses; `expire` is due `LAPSE_GRACE` later.
+        """
         self._clock = clock
         self._on_gone = on_gone
         self._departures = departures
         self._on_draining = on_draining
         self._on_lost = on_lost
+        self._on_lapsed = on_lapsed
         self._record_by_id: dict[str, _Record] = {}
         self._removed_revision_by_id: dict[str, int] = {}
         self._held = HeldRegistrations(clock, check_in_interval)
@@ -262,6 +267,7 @@
             logger.bind(
                 instance=record.instance.id, revision=revision, restored=record.is_of_earlier_era
             ).info("registration lapsed, kept")
+            self._on_lapsed()
 
     def _drop(self, instance_id: str, revision: int) -> None:
         record = self._record_by_id.pop(instance_id)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -21,7 +21,7 @@
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import LEAVING, PAUSED, InstancePools, PoolTools
 from firtrestle.instance_replies import CallerMessage, InstanceReply
-from firtrestle.instances import Instance, Instances
+from firtrestle.instances import LAPSE_GRACE, Instance, Instances
 from firtrestle.isolations import faults
 from firtrestle.kernels import Kernel
 from firtrestle.listeners import listen
@@ -131,6 +131,7 @@
             self._withdraw_waiting,
             self._crashes.record_instance_lost,
             Millis(settings.routes.check_in_ms),
+            lambda: nursery.start_soon(self._expire_lapse),
         )
         self._fault_probes = FaultProbes(
             self._uplink,
@@ -250,6 +251,14 @@
             self._update_fleet_size()
             await sleep(HOUSEKEEPING_INTERVAL)
 
+    async def _expire_lapse(self) -> None:
+        """Drop an instance that lapses now as soon as its grace period ends.
+
+        The grace period leaves little of the drain time, within which no request may be sent.
+        """
+        await sleep(LAPSE_GRACE)
+        self.instances.expire()
+
     async def _share_slow_reports(self) -> None:
         """Tell a few peers what changed in the reports on slow instances, forever."""
         async with trio.open_nursery() as nursery:
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -232,3 +232,21 @@
     assert instances.serving("s") == ()
     instances.put(instance(), 6)
     assert instances.serving("s") == (instance(),)
+
+
+def test_a_lapse_is_told_once_so_that_its_end_can_be_awaited():
+    lapses = []
+    clock = ManualClock()
+    departures = Departures(GossipMap(), clock, Millis(3_000))
+    instances = Instances(
+        clock, lambda ids: None, departures, on_lapsed=lambda: lapses.append(clock.now())
+    )
+    instances.put(instance("a"), 1)
+    instances.put(instance("b"), 2)
+    instances.set_registry_reachable(False)
+    instances.remove("a", 3)
+    instances.remove("a", 4)
+    instances.set_registry_reachable(True)
+    clock.at += 10_000
+    instances.remove("b", 5)
+    assert lapses == [0]
