--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -73,7 +73,7 @@
     ) -> None:
         """Prepare; `on_lost` is called for instances that ended without having announced it.
 
-        `on_lapsed` is called as an instance lapses; `expire` is due `LAPSE_GRACE` later.
+        `on_lapsed` is called as an instance lapses; `expire` is due at the end of its grace period.
         """
         self._clock = clock
         self._on_gone = on_gone
@@ -178,6 +178,15 @@
         for held in self._held.take_due():
             self._store(held.instance, held.revision)
 
+    def time_until_expiry(self) -> Millis | None:
+        """Return the time until the next grace period ends, None if no instance has lapsed."""
+        lapsed_at = [
+            record.lapsed_at
+            for record in self._record_by_id.values()
+            if record.lapsed_at is not None
+        ]
+        return Millis(min(lapsed_at) + LAPSE_GRACE - self._clock.now()) if lapsed_at else None
+
     def refresh(self) -> None:
         """Choose the serving instances of each service anew, after a change of departures."""
         self._by_service = None
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -21,7 +21,7 @@
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import LEAVING, PAUSED, InstancePools, PoolTools
 from firtrestle.instance_replies import CallerMessage, InstanceReply
-from firtrestle.instances import LAPSE_GRACE, Instance, Instances
+from firtrestle.instances import Instance, Instances
 from firtrestle.isolations import faults
 from firtrestle.kernels import Kernel
 from firtrestle.listeners import listen
@@ -53,6 +53,7 @@
 from firtrestle.uplinks import Uplink, UplinkState
 
 HOUSEKEEPING_INTERVAL = Millis(500)
+MIN_EXPIRY_INTERVAL = Millis(20)  # collects the ends of lapses that were read together
 SLOW_REPORTS_INTERVAL = Millis(200)
 SLOW_REPORTS_PARTNERS = (2, 1)  # in this data centre, and in others, where bytes are scarce
 FLEET_DISCOVERY_TIME = Millis(2_000)  # after a start; until then a daemon may know few others
@@ -80,6 +81,7 @@
         self._settings_file = settings_file
         clock, rng = self.clock, self._rng
         self._started_at = clock.now()
+        self._awaits_lapses = False
         source = kernel.sources.get(settings.routes.source)
         caller_codec, instance_codec = kernel.codecs[settings.routes.source]
         self._clients = PeerClients(nursery)
@@ -131,7 +133,7 @@
             self._withdraw_waiting,
             self._crashes.record_instance_lost,
             Millis(settings.routes.check_in_ms),
-            lambda: nursery.start_soon(self._expire_lapse),
+            self._await_lapses,
         )
         self._fault_probes = FaultProbes(
             self._uplink,
@@ -251,13 +253,20 @@
             self._update_fleet_size()
             await sleep(HOUSEKEEPING_INTERVAL)
 
-    async def _expire_lapse(self) -> None:
-        """Drop an instance that lapses now as soon as its grace period ends.
+    def _await_lapses(self) -> None:
+        if not self._awaits_lapses:
+            self._awaits_lapses = True
+            self._nursery.start_soon(self._expire_lapses)
 
-        The grace period leaves little of the drain time, within which no request may be sent.
+    async def _expire_lapses(self) -> None:
+        """Drop each lapsed instance as its grace period ends, until none is left.
+
+        A grace period leaves little of the drain time, within which no request may be sent.
         """
-        await sleep(LAPSE_GRACE)
-        self.instances.expire()
+        while (left := self.instances.time_until_expiry()) is not None:
+            await sleep(max(left, MIN_EXPIRY_INTERVAL))
+            self.instances.expire()
+        self._awaits_lapses = False
 
     async def _share_slow_reports(self) -> None:
         """Tell a few peers what changed in the reports on slow instances, forever."""
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -250,3 +250,6 @@
     clock.at += 10_000
     instances.remove("b", 5)
     assert lapses == [0]
+    assert instances.time_until_expiry() == LAPSE_GRACE - 10_000
+    instances.expire()
+    assert instances.time_until_expiry() is None
