A copy does not revive an instance whose removal may have been a lapse (DRAIN)

Trace: one of 8 daemons had started 4 s before, so it took the removal for a lapse; 1.7 s later the copy had the instance, which ended the lapse, and its second removal began another one, 2.5 s long. The other seven held the copy's registration back. Change: a lapse that began before the restore goes on, and the copy's registration is held back like that of an instance that is known to be gone. Not if the restored store has lacked it before: then it is new.

--- a/packages/firtrestle/firtrestle/held_registrations.py
+++ b/packages/firtrestle/firtrestle/held_registrations.py
@@ -56,12 +56,15 @@
         """Record that an instance was removed."""
         self._end_by_id[instance.id] = _End(instance.born, self._clock.now())
 
-    def hold(self, instance: Instance, revision: int, known: Instance | None) -> bool:
+    def hold(
+        self, instance: Instance, revision: int, known: Instance | None, has_lapsed: bool = False
+    ) -> bool:
         """Hold a registration if it contradicts what was known; return whether it does.
 
-        `known` is the registration of the id in an earlier era, None if there is none.
+        `known` is the registration of the id in an earlier era, None if there is none; with
+        `has_lapsed` it had been removed there, which may have been a lapse.
         """
-        reason = self._contradiction(instance, known)
+        reason = self._contradiction(instance, known, has_lapsed)
         if reason is None:
             self._held_by_id.pop(instance.id, None)
             return False
@@ -99,12 +102,16 @@
             return 0.0
         return self._era_began_at + self._hold_time - self._clock.now()
 
-    def _contradiction(self, instance: Instance, known: Instance | None) -> str | None:
+    def _contradiction(
+        self, instance: Instance, known: Instance | None, has_lapsed: bool
+    ) -> str | None:
         if self._time_left() <= 0:
             return None
         if known is not None and instance.born < known.born:
             return "a later lifetime was known"
         if known is not None and instance.born == known.born:
+            if has_lapsed:
+                return "the instance was removed, which may have been a lapse"
             is_undone = known.draining and not instance.draining
             return "the instance was draining" if is_undone else None
         end = self._end_by_id.get(instance.id)
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -94,14 +94,25 @@
         if not self._is_news(instance.id, revision, "registration"):
             return False
         before = self._record_by_id.get(instance.id)
-        known = before.instance if before is not None and before.is_of_earlier_era else None
-        if self._held.hold(instance, revision, known):
-            if known is not None and known.born != instance.born:
-                self._lapse(before, revision)
+        known = before if before is not None and before.is_of_earlier_era else None
+        if self._is_held_back(instance, revision, known):
+            if known is not None and known.instance.born != instance.born:
+                self._lapse(known, revision)
             return True
         self._store(instance, revision)
         return True
 
+    def _is_held_back(self, instance: Instance, revision: int, known: _Record | None) -> bool:
+        """Return whether a registration may be one that a copy brought back.
+
+        It is not if the registry, once restored, has lacked the instance before.
+        """
+        if instance.id in self._removed_revision_by_id:
+            return False
+        known_instance = known.instance if known is not None else None
+        has_lapsed = known is not None and known.lapsed_at is not None
+        return self._held.hold(instance, revision, known_instance, has_lapsed)
+
     def _store(self, instance: Instance, revision: int) -> None:
         before = self._record_by_id.get(instance.id)
         # A copy tells nothing new of an instance whose address another one had taken.
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -253,3 +253,38 @@
     assert instances.time_until_expiry() == LAPSE_GRACE - 10_000
     instances.expire()
     assert instances.time_until_expiry() is None
+
+
+# Guards against a copy reviving an instance whose removal, near an outage, was taken for a lapse.
+def test_a_copy_does_not_end_a_lapse_that_began_before_it():
+    instances, clock, _ = build()
+    instances.put(instance(), 50)
+    instances.set_registry_reachable(False)
+    instances.set_registry_reachable(True)
+    instances.remove("a", 51)
+    instances.begin_era()
+    instances.put(instance(), 5)
+    clock.at += LAPSE_GRACE
+    instances.expire()
+    assert instances.serving("s") == ()
+    clock.at += 60_000
+    instances.expire()
+    assert instances.serving("s") == (instance(),)
+
+
+def test_an_instance_that_registers_after_the_restored_registry_lacked_it_is_used_at_once():
+    instances, clock, _ = build()
+    for name in ("lapsed", "ended", "known"):
+        instances.put(instance(name), 50)
+    instances.remove("ended", 51)
+    instances.set_registry_reachable(False)
+    instances.remove("lapsed", 52)
+    clock.at += 10
+    instances.begin_era()
+    for number, name in enumerate(("lapsed", "ended", "known")):
+        instances.remove(name, 5)
+        instances.put(instance(name), 6 + number)
+    assert len(instances.serving("s")) == 3
+    clock.at += 60_000
+    instances.expire()
+    assert len(instances.serving("s")) == 3
