Only a lapse by a removal makes a copy's registration doubtful

Trace: a copy held an earlier lifetime, so the known one lapsed; its true registration 0.1 to 1.2 s later was held back as 'removed, which may have been a lapse' and the known one dropped after its grace. Change: a lapse counts if it began by a removal before the restore. One that a copy caused ends with that copy, so that a second restore gives the whole grace period again.

--- a/packages/firtrestle/firtrestle/held_registrations.py
+++ b/packages/firtrestle/firtrestle/held_registrations.py
@@ -57,14 +57,14 @@
         self._end_by_id[instance.id] = _End(instance.born, self._clock.now())
 
     def hold(
-        self, instance: Instance, revision: int, known: Instance | None, has_lapsed: bool = False
+        self, instance: Instance, revision: int, known: Instance | None, had_lapsed: bool = False
     ) -> bool:
         """Hold a registration if it contradicts what was known; return whether it does.
 
         `known` is the registration of the id in an earlier era, None if there is none; with
-        `has_lapsed` it had been removed there, which may have been a lapse.
+        `had_lapsed` it had been removed there, which may have been a lapse.
         """
-        reason = self._contradiction(instance, known, has_lapsed)
+        reason = self._contradiction(instance, known, had_lapsed)
         if reason is None:
             self._held_by_id.pop(instance.id, None)
             return False
@@ -103,14 +103,14 @@
         return self._era_began_at + self._hold_time - self._clock.now()
 
     def _contradiction(
-        self, instance: Instance, known: Instance | None, has_lapsed: bool
+        self, instance: Instance, known: Instance | None, had_lapsed: bool
     ) -> str | None:
         if self._time_left() <= 0:
             return None
         if known is not None and instance.born < known.born:
             return "a later lifetime was known"
         if known is not None and instance.born == known.born:
-            if has_lapsed:
+            if had_lapsed:
                 return "the instance was removed, which may have been a lapse"
             is_undone = known.draining and not instance.draining
             return "the instance was draining" if is_undone else None
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -56,6 +56,7 @@
     barred: bool = False  # another instance answers at its address
     lapsed_at: Millis | None = None  # time of a removal that may be a lapse
     is_of_earlier_era: bool = False  # not registered since the registry was restored
+    had_lapsed: bool = False  # before the registry was restored
 
 
 class Instances:
@@ -110,8 +111,8 @@
         if instance.id in self._removed_revision_by_id:
             return False
         known_instance = known.instance if known is not None else None
-        has_lapsed = known is not None and known.lapsed_at is not None
-        return self._held.hold(instance, revision, known_instance, has_lapsed)
+        had_lapsed = known is not None and known.had_lapsed
+        return self._held.hold(instance, revision, known_instance, had_lapsed)
 
     def _store(self, instance: Instance, revision: int) -> None:
         before = self._record_by_id.get(instance.id)
@@ -157,6 +158,10 @@
     def begin_era(self) -> None:
         """Compare no revision known so far with later ones, as the registry was restored."""
         for record in self._record_by_id.values():
+            if not record.is_of_earlier_era:
+                record.had_lapsed = record.lapsed_at is not None
+            elif not record.had_lapsed:
+                record.lapsed_at = None  # only the copy before this one lacked it
             record.revision = EARLIER_ERA_REVISION
             record.is_of_earlier_era = True
         self._removed_revision_by_id.clear()
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -218,6 +218,9 @@
     instances.put(instance(born=1), 5)
     assert instances.serving("s") == (instance(born=2),)
     instances.put(instance(born=2), 6)
+    clock.at += LAPSE_GRACE
+    instances.expire()
+    assert instances.serving("s") == (instance(born=2),)
     clock.at += 60_000
     instances.expire()
     assert instances.serving("s") == (instance(born=2),)
@@ -288,3 +291,20 @@
     clock.at += 60_000
     instances.expire()
     assert len(instances.serving("s")) == 3
+
+
+def test_a_second_copy_gives_an_instance_that_both_lack_its_whole_grace_period():
+    instances, clock, _ = build()
+    instances.put(instance(), 50)
+    instances.begin_era()
+    instances.remove("a", 9)
+    clock.at += LAPSE_GRACE - 100
+    instances.begin_era()
+    instances.remove("a", 8)
+    clock.at += LAPSE_GRACE - 100
+    instances.expire()
+    assert instances.serving("s") == (instance(),)
+    instances.put(instance(), 9)
+    clock.at += 200
+    instances.expire()
+    assert instances.serving("s") == (instance(),)
