Leave out era-bound items once, before stamps are compared

Cause: the repair after a ping had the same condition in both comparisons, and two reads built the same failure. Change: stamps of other eras are left out first, so the comparisons are as they were; one RESTORED failure; the tests of instances share one builder.

--- a/packages/firtrestle/firtrestle/gossip_maps.py
+++ b/packages/firtrestle/firtrestle/gossip_maps.py
@@ -188,17 +188,18 @@
         """Store the rows of a peer, but those stamped in other eras than this daemon knows."""
         self.eras.learn(eras)
         if not self.eras.are_shared_by(eras):
-            kept = [row for row in rows if not (row and _is_era_bound(row[0]))]
-            self._count_refused(len(rows) - len(kept), eras)
-            rows = kept
+            rows = self._refuse_era_bound(rows, eras)
         self.items.put_rows(rows)
 
-    def _count_refused(self, count: int, eras: list[int]) -> None:
-        if count:
-            self.eras.refused_rows += count
-            logger.bind(rows=count, peer_eras=eras, eras=self.eras.to_wire()).debug(
+    def _refuse_era_bound(self, rows: list[list[Any]], eras: list[int]) -> list[list[Any]]:
+        kept = [row for row in rows if not (row and _is_era_bound(row[0]))]
+        refused = len(rows) - len(kept)
+        if refused:
+            self.eras.refused_rows += refused
+            logger.bind(rows=refused, peer_eras=eras, eras=self.eras.to_wire()).debug(
                 "registrations of a peer refused, their revisions are of other eras"
             )
+        return kept
 
     def _should_request(self, key: str, stamp: int) -> bool:
         """Return whether to ask for an announced item; one peer at a time is asked."""
@@ -217,18 +218,11 @@
         self.eras.learn(pong.eras)
         if not pong.buckets:
             return None
-        is_comparable = self.eras.are_shared_by(pong.eras)
-        own_stamps = self.items.stamps_in(pong.buckets)
-        wanted = [
-            key
-            for key, stamp in pong.stamps.items()
-            if stamp > own_stamps.get(key, -1) and (is_comparable or not _is_era_bound(key))
-        ]
-        newer = [
-            key
-            for key, stamp in own_stamps.items()
-            if stamp > pong.stamps.get(key, -1) and (is_comparable or not _is_era_bound(key))
-        ]
+        stamps, own_stamps = pong.stamps, self.items.stamps_in(pong.buckets)
+        if not self.eras.are_shared_by(pong.eras):
+            stamps, own_stamps = _without_era_bound(stamps), _without_era_bound(own_stamps)
+        wanted = [key for key, stamp in stamps.items() if stamp > own_stamps.get(key, -1)]
+        newer = [key for key, stamp in own_stamps.items() if stamp > stamps.get(key, -1)]
         if not wanted and not newer:
             return None
         rows = self.items.rows(newer[:MAX_ITEMS_PER_PULL])
@@ -243,6 +237,10 @@
     return isinstance(key, str) and key.startswith(ERA_BOUND_PREFIX)
 
 
+def _without_era_bound(stamps: dict[str, int]) -> dict[str, int]:
+    return {key: stamp for key, stamp in stamps.items() if not _is_era_bound(key)}
+
+
 def _build_push(rows: list[list[Any]], eras: list[int]) -> Pull:
     large = [
         row for row in rows if isinstance(row[2], str | bytes) and len(row[2]) >= LARGE_VALUE_BYTES
--- a/packages/firtrestle/firtrestle/registry_watches.py
+++ b/packages/firtrestle/firtrestle/registry_watches.py
@@ -58,6 +58,7 @@
 
 
 RegistryResult = RegistryUpdates | RegistryFailure
+RESTORED = RegistryFailure("the registry was restored", history_gone=True)
 
 
 class RegistryClient(Protocol):
@@ -142,7 +143,7 @@
                 return RegistryFailure(f"answer of era {result.era}, a later one is known")
             eras.observe(result.era)
         if span is not None and eras.span != span and not is_complete_read:
-            return RegistryFailure("the registry was restored", history_gone=True)
+            return RESTORED
         return result
 
     async def _read(self, revision: int | None) -> RegistryResult:
@@ -174,7 +175,7 @@
             await self._reader_role.wait_check_due(self._name)
             revision = self._progress.revision(self._name)
             if revision is None:
-                return RegistryFailure("the registry was restored", history_gone=True)
+                return RESTORED
             span = self._progress.eras.span
             result = await self._checker.watch(self._name, revision, CHECK_WAIT, CHECK_TIMEOUT)
             result = self._check_era(result, span, is_complete_read=False)
--- a/packages/firtrestle/tests/test_instances.py
+++ b/packages/firtrestle/tests/test_instances.py
@@ -5,11 +5,11 @@
 from manual_clocks import ManualClock
 
 
-def build():
+def build(**callbacks):
     gone_ids = set()
     clock = ManualClock()
     departures = Departures(GossipMap(), clock, Millis(3_000))
-    return Instances(clock, gone_ids.update, departures), clock, gone_ids
+    return Instances(clock, gone_ids.update, departures, **callbacks), clock, gone_ids
 
 
 def instance(name="a", draining=False, born=1):
@@ -239,11 +239,7 @@
 
 def test_a_lapse_is_told_once_so_that_its_end_can_be_awaited():
     lapses = []
-    clock = ManualClock()
-    departures = Departures(GossipMap(), clock, Millis(3_000))
-    instances = Instances(
-        clock, lambda ids: None, departures, on_lapsed=lambda: lapses.append(clock.now())
-    )
+    instances, clock, _ = build(on_lapsed=lambda: lapses.append(clock.now()))
     instances.put(instance("a"), 1)
     instances.put(instance("b"), 2)
     instances.set_registry_reachable(False)
