Refuse requests that were never written as not run (REFUSED)

Attempts that are cancelled before they are written now count as not run, and a call that was cancelled while it waited can't be written afterwards. A request that has not run by its deadline gets 503 and a time to come back.

--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -226,9 +226,12 @@
     async def _exchange(self, call: InstanceCall, connection: HttpConnection) -> None:
         message = call.message
         max_idle = MAX_IDLE_TIME
+        # While the call waited it may have been cancelled, and reported as not run, or its instance
+        # was removed or asked for a pause.
         refusal = self._refusal()
-        if refusal is not None:  # removed, or asked for a pause, while the connection was opened
-            call.finish(refusal)
+        if call.finished or refusal is not None:
+            if refusal is not None:
+                call.finish(refusal)
             self._release_connection(connection, max_idle)
             return
         call.sent_at = self._clock.now()
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -215,8 +215,10 @@
         ).info("refused")
         signals.query_refused.send(route_name, refused=refused)
         is_repeatable = gather is not None and gather.is_repeatable
-        is_worth_retrying = refused.kind in KINDS_WORTH_RETRYING or (
-            refused.kind is ErrorKind.OUTCOME_UNKNOWN and is_repeatable
+        is_worth_retrying = (
+            refused.kind in KINDS_WORTH_RETRYING
+            or (refused.kind is ErrorKind.OUTCOME_UNKNOWN and is_repeatable)
+            or (refused.kind is ErrorKind.DEADLINE_PASSED and refused.ran is Ran.FALSE)
         )
         if is_worth_retrying and refused.retry_after is None:
             retry_after = Millis(DEFAULT_RETRY_AFTER * self._rng.uniform(*RETRY_AFTER_JITTER))
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -360,16 +360,14 @@
 
     def _cancel_all(self) -> None:
         """Cancel the open attempts; without any reply, their instances may yet crash by them."""
-        if not self._parts.reply_by_service:
-            sent_to = [
-                attempt.replica.id
-                for state in self._open_by_shard.values()
-                for attempt in state.attempts
-                if self._call_by_attempt[attempt.number].sent_at is not None
-            ]
-            if sent_to:
-                self._tools.crashes.record_unanswered(self._request.fingerprint, sent_to)
+        attempts = [a for state in self._open_by_shard.values() for a in state.attempts]
+        written = [a for a in attempts if self._call_by_attempt[a.number].sent_at is not None]
+        if written and not self._parts.reply_by_service:
+            self._tools.crashes.record_unanswered(
+                self._request.fingerprint, [attempt.replica.id for attempt in written]
+            )
         super()._cancel_all()
+        self.attempt_summary.not_run_count += len(attempts) - len(written)
 
     def _give_up_shard(self, shard: int, reason: SubOutcome) -> None:
         state = self._open_by_shard.get(shard)
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -99,10 +99,11 @@
     sent: list[str] = field(default_factory=list)
     work_ms: float = 0.0  # processor time that each reply costs
     connected: set[str] = field(default_factory=set)  # instances with an idle connection
+    writes: bool = True  # whether calls get a connection over which they are written
 
     def start(self, instance: Instance, call: InstanceCall, connections: int) -> InstanceCall:
         self.sent.append(instance.id)
-        call.sent_at = Clock().now()
+        call.sent_at = Clock().now() if self.writes else None
         self.nursery.start_soon(self._reply, instance, call, Counter(self.sent)[instance.id])
         return call
 
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -142,6 +142,29 @@
         assert fixture.served == ["/first", "/third"]
 
 
+# Guards against a request that was reported as not run, and is written after that.
+async def test_request_cancelled_as_its_connection_becomes_free_is_not_sent():
+    async with pool_fixture() as fixture:
+        fixture.gate = trio.Event()
+        fixture.start("/first")
+        await fixture.wait_until(lambda: fixture.served == ["/first"])
+        queued = fixture.start("/queued")
+        await fixture.wait_until(lambda: fixture.pools.waiting == 1)
+        pool = next(iter(fixture.pools._pool_by_id.values()))
+        release = pool._release_connection
+
+        def cancel_and_release(connection, max_idle):
+            release(connection, max_idle)
+            queued.finished = True  # as if it was cancelled in the same turn of the loop
+
+        pool._release_connection = cancel_and_release
+        fixture.gate.set()
+        await fixture.wait_until(lambda: len(fixture.replies) == 1)
+        await trio.sleep(0.05)
+        assert fixture.served == ["/first"]
+        assert queued.sent_at is None
+
+
 async def test_open_connections_stay_within_the_limit():
     async with pool_fixture() as fixture:
         fixture.delay = 5
@@ -226,3 +249,23 @@
         assert fixture.pools.silent(Millis(0), Millis(0)) == [fixture.instance]
         assert fixture.pools.silent(Millis(0), Millis(5_000)) == []
         assert fixture.pools.silent(FAR_DEADLINE, Millis(0)) == []
+
+
+# Guards against an undefined status being passed on as the answer of a single service, or as a
+# part of a gather: both take what the pool delivers.
+async def test_a_reply_with_an_undefined_status_counts_as_broken_and_closes_its_connection():
+    async def serve(stream):
+        await stream.receive_some(65_536)
+        await stream.send_all(b"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok")
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        fixture = PoolFixture(nursery, listeners[0].socket.getsockname()[1])
+        fixture.start("/x")
+        await fixture.wait_until(lambda: fixture.replies)
+        reply = fixture.replies[0]
+        assert (reply.outcome, reply.may_have_run) == (SubOutcome.DIED, True)
+        await fixture.wait_until(lambda: fixture.pools.open_connections == 0)
+        nursery.cancel_scope.cancel()
--- a/packages/firtrestle/tests/test_service_gathers.py
+++ b/packages/firtrestle/tests/test_service_gathers.py
@@ -1,5 +1,6 @@
 import math
 
+import pytest
 import trio
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis
@@ -96,6 +97,25 @@
     run_with_harness(lambda instance, nth: (math.inf, good(instance)), body)
 
 
+# Guards against a caller that can't send a request again, though it never left the daemon.
+@pytest.mark.parametrize("route", [plain_route(), scatter_route(3)])
+def test_a_request_that_was_never_written_is_refused_as_not_run(route):
+    async def body(harness):
+        harness.pools.writes = False
+        refused, _ = await harness.ask(route, time_left=100)
+        assert (refused.kind, refused.ran) == (ErrorKind.DEADLINE_PASSED, Ran.FALSE)
+
+    run_with_harness(lambda instance, nth: (math.inf, good(instance)), body)
+
+
+def test_a_request_of_which_one_attempt_was_written_may_have_run():
+    async def body(harness):
+        refused, _ = await harness.ask(scatter_route(3), time_left=100)
+        assert refused.ran is Ran.UNKNOWN
+
+    run_with_harness(lambda instance, nth: (math.inf, good(instance)), body)
+
+
 def test_an_answer_with_least_coverage_is_sent_by_the_latency_target():
     """One shard of ten does not reply on any replica."""
 
