--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -31,6 +31,7 @@
 MAX_REPLY_BYTES = 4_000_000
 MAX_INFORMATIONAL_RESPONSES = 16  # before a reply
 RESET_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST instead of FIN
+MAX_STATUS = 599  # HTTP defines no higher one; the parser refuses those below 100
 BODILESS_STATUSES = frozenset({204, 304})  # replies with these statuses have no body
 KEEP_ALIVE_MARGIN = Millis(500)  # for a request in transit when the server's timeout ends
 DEFAULT_KEEP_ALIVE = Millis(60_000)  # if the server announces no timeout
@@ -258,6 +259,8 @@
                 self._http.receive_data(await self._stream.receive_some(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                if status > MAX_STATUS:
+                    return HttpFailure(True, f"the protocol was broken: status {status}")
                 headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
             elif isinstance(event, h11.Data):
                 reader.add(event.data)
--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -8,6 +8,7 @@
 
 from firtrestle.answers import condense
 from firtrestle.clocks import Millis
+from firtrestle.http_clients import MAX_STATUS
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.messages import Relay, Relayed
 from firtrestle.outcomes import SubOutcome
@@ -17,6 +18,7 @@
 # Part of the time left that a peer doesn't get, so that its answer arrives before the deadline.
 HOP_RESERVE = Millis(5)
 UNREACHED_REASONS = frozenset({SubOutcome.UNREACHABLE, SubOutcome.NO_REPLICA})
+MIN_FINAL_STATUS = 200
 OUTCOMES = frozenset(str(outcome) for outcome in SubOutcome)
 
 
@@ -211,7 +213,8 @@
 def _is_reply(row: list[Any]) -> bool:
     status, stamp, headers, body = row
     return (
-        isinstance(status, int)
+        _is_positive(status)
+        and MIN_FINAL_STATUS <= status <= MAX_STATUS
         and isinstance(stamp, str)
         and _are_headers(headers)
         and isinstance(body, bytes)
--- a/packages/firtrestle/tests/test_http_clients.py
+++ b/packages/firtrestle/tests/test_http_clients.py
@@ -62,6 +62,16 @@
         assert not connection.usable
 
 
+# Guards against a status that HTTP does not define, such as 000, being passed on as an answer.
+@pytest.mark.parametrize("status", ["000", "099", "0200", "20", "600", "999"])
+async def test_a_reply_with_an_undefined_status_is_a_failure(status):
+    data = f"HTTP/1.1 {status} X\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
+    reply, connection = await exchange(serve_bytes(data.encode(), close=True))
+    assert isinstance(reply, HttpFailure)
+    assert reply.sent
+    assert not connection.usable
+
+
 async def test_bytes_after_the_reply_make_the_connection_unusable():
     reply, connection = await exchange(serve_bytes(REPLY + REPLY))
     assert reply.body == b"ok"
