Send no request to an instance of an evacuated data centre

Cause: operators had no way to empty a data centre; its instances got requests until each one drained. Change: the key op/evacuate/ZONE is read with the desired state (prefix op/), shared as era-bound gossip items, and obeyed where instances are chosen and once more before a call is written. A daemon answers callers and relays only when it knows all parts of the registry. Peers of an earlier build get progress under the part name that they know. Reloading of settings and ends of lapses moved to own modules.

--- a/packages/firtrestle/firtrestle/gossip_maps.py
+++ b/packages/firtrestle/firtrestle/gossip_maps.py
@@ -20,7 +20,9 @@
 BATCH_DELAY = Millis(5)
 MAX_ITEMS_PER_PULL = 2_000
 LARGE_VALUE_BYTES = 1_024  # text or bytes of this size are announced before being sent
-ERA_BOUND_PREFIX = "instance/"  # of items whose stamps are revisions of a registry
+INSTANCE_PREFIX = "instance/"
+EVACUATION_PREFIX = "evacuation/"
+ERA_BOUND_PREFIXES = (INSTANCE_PREFIX, EVACUATION_PREFIX)  # stamped with a registry's revisions
 REQUEST_WAIT = Millis(500)  # how long an announced item is awaited before another peer is asked
 
 Validator = Callable[[str, int, Any], bool]
@@ -197,7 +199,7 @@
         if refused:
             self.eras.refused_rows += refused
             logger.bind(rows=refused, peer_eras=eras, eras=self.eras.to_wire()).debug(
-                "registrations of a peer refused, their revisions are of other eras"
+                "items of a peer refused, their revisions are of other eras"
             )
         return kept
 
@@ -234,7 +236,7 @@
 
 
 def _is_era_bound(key: Any) -> bool:
-    return isinstance(key, str) and key.startswith(ERA_BOUND_PREFIX)
+    return isinstance(key, str) and key.startswith(ERA_BOUND_PREFIXES)
 
 
 def _without_era_bound(stamps: dict[str, int]) -> dict[str, int]:
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -23,13 +23,12 @@
     InstanceCodec,
     InstanceReply,
     failed_reply,
-    unsent_reply,
 )
 from firtrestle.instances import Instance
 from firtrestle.isolations import faults
-from firtrestle.outcomes import SubOutcome
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.snapshots import ReplicaId
+from firtrestle.unsent_replies import EVACUATED, GONE, PAUSED
 from firtrestle.uplinks import Uplink
 
 # A loaded instance accepts within about 10 ms; a TCP retransmission takes longer than this timeout.
@@ -45,11 +44,6 @@
 ObserveReply = Callable[[Instance, CallerMessage, InstanceReply], None]
 
 
-_GONE = unsent_reply(SubOutcome.DRAINING, "the instance is gone")
-LEAVING = unsent_reply(SubOutcome.DRAINING, "the instance is leaving")
-PAUSED = unsent_reply(SubOutcome.SHED, "the instance asked for a pause")
-
-
 @dataclass(slots=True, eq=False)
 class InstanceCall:
     """Track one message to one instance; its reply is delivered at most once."""
@@ -121,6 +115,7 @@
     memory: ReceiveMemory  # for unfinished replies
     uplink: Uplink
     source: str = ""  # local IP address to connect from, empty for the system's choice
+    is_evacuated: Callable[[str], bool] = lambda data_centre: False
 
 
 class InstancePool:
@@ -140,6 +135,7 @@
         self._memory = tools.memory
         self._source = tools.source
         self._uplink = tools.uplink
+        self._is_evacuated = tools.is_evacuated
         self._idle: list[_IdleConnection] = []
         self._waiters: deque[_Waiter] = deque()
         self._calls: set[InstanceCall] = set()
@@ -178,7 +174,7 @@
     def close(self) -> None:
         """Refuse waiting calls, close idle connections, and close busy ones after their calls."""
         self._closed = True
-        self.refuse_waiting(_GONE)
+        self.refuse_waiting(GONE)
         self._close_idle()
 
     def close_stale(self) -> None:
@@ -227,7 +223,7 @@
         message = call.message
         max_idle = MAX_IDLE_TIME
         refusal = self._refusal()
-        if refusal is not None:  # removed, or asked for a pause, while the connection was opened
+        if refusal is not None:  # removed, evacuated or paused while the connection was opened
             call.finish(refusal)
             self._release_connection(connection, max_idle)
             return
@@ -271,7 +267,9 @@
     def _refusal(self) -> InstanceReply | None:
         """Return the reply to a call that must not be sent now, None for others."""
         if self._closed:
-            return _GONE
+            return GONE
+        if self._is_evacuated(self.instance.data_centre):
+            return EVACUATED
         return PAUSED if self._backoffs.left(self.instance.replica_id) else None
 
     async def _acquire_connection(self, call: InstanceCall) -> HttpConnection | InstanceReply:
@@ -374,6 +372,7 @@
         if pool is None:
             pool = InstancePool(instance, self._tools)
             self._pool_by_id[instance.replica_id] = pool
+        pool.instance = instance  # its registration may have changed within one lifetime
         pool.limit = connections
         return pool.start(call)
 
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -15,6 +15,7 @@
 
 from firtrestle.clocks import Clock, Millis
 from firtrestle.departures import Departures
+from firtrestle.evacuations import Evacuations
 from firtrestle.held_registrations import HeldRegistrations
 from firtrestle.snapshots import ReplicaId
 
@@ -71,11 +72,14 @@
         on_lost: Callable[[ReplicaId], None] = lambda replica_id: None,
         check_in_interval: Millis = CHECK_IN_INTERVAL,
         on_lapsed: Callable[[], None] = lambda: None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         """Prepare; `on_lost` is called for instances that ended without having announced it.
 
         `on_lapsed` is called as an instance lapses; `expire` is due at the end of its grace period.
         """
+        self.evacuations = evacuations or Evacuations(clock)
+        self.evacuations.add_listener(lambda zone: self.refresh())
         self._clock = clock
         self._on_gone = on_gone
         self._departures = departures
@@ -204,7 +208,7 @@
         return Millis(min(lapsed_at) + LAPSE_GRACE - self._clock.now()) if lapsed_at else None
 
     def refresh(self) -> None:
-        """Choose the serving instances of each service anew, after a change of departures."""
+        """Choose the serving instances of each service anew, after departures or evacuations."""
         self._by_service = None
 
     def ids(self) -> set[str]:
@@ -229,7 +233,8 @@
     def serving(self, service: str) -> tuple[Instance, ...]:
         """Return the instances of a service that may get new work: not draining, not barred.
 
-        Those that announced their departure are returned only if there is no other.
+        None is in an evacuated data centre. Those that announced their departure are returned only
+        if there is no other.
         """
         if self._by_service is None:
             self._by_service = self._group_by_service()
@@ -246,6 +251,8 @@
             instance = record.instance
             if instance.draining or record.barred:
                 continue
+            if self.evacuations.covers(instance.data_centre):
+                continue
             if not self._departures.is_leaving(instance.replica_id):
                 staying.setdefault(instance.service, []).append(instance)
             elif self._departures.is_last_resort(instance.replica_id):
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -65,14 +65,16 @@
 class Pong:
     """Answer a ping with the stamps of the buckets that differ.
 
-    `progress` holds, by part of a registry, the revision up to which the sender knows all changes
-    and the age of that knowledge in ms.
+    `parts` holds, by part of a registry, the revision up to which the sender knows all changes and
+    the age of that knowledge in ms. `progress` is the same for earlier builds, by the parts that
+    they know; they count any other name as one more part, which would age.
     """
 
     alive: bool = True
     stamps: dict[str, int] = field(default_factory=dict)
     buckets: list[int] = field(default_factory=list)
     progress: dict[str, list[float]] = field(default_factory=dict)
+    parts: dict[str, list[float]] = field(default_factory=dict)
     eras: list[int] = field(default_factory=list)
 
 
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -93,6 +93,11 @@
     "Time since the last reply of any instance",
     registry=REGISTRY,
 )
+EVACUATED = Gauge(
+    "firtrestle_evacuated_data_centres",
+    "Data centres that operators have evacuated, as far as this daemon knows",
+    registry=REGISTRY,
+)
 LEAVING = Gauge(
     "firtrestle_instances_leaving",
     "Instances that announced their departure, here or to a peer",
--- a/packages/firtrestle/firtrestle/registry_readers.py
+++ b/packages/firtrestle/firtrestle/registry_readers.py
@@ -13,6 +13,7 @@
 
 from firtrestle.clocks import Clock, Millis, sleep
 from firtrestle.members import Member, Members
+from firtrestle.messages import Pong
 from firtrestle.registry_eras import RegistryEras
 from firtrestle.rendezvous import rank
 
@@ -49,8 +50,14 @@
     """Track up to which revision this daemon knows all changes of each part of a registry."""
 
     def __init__(
-        self, clock: Clock, expected: frozenset[str], eras: RegistryEras | None = None
+        self,
+        clock: Clock,
+        expected: frozenset[str],
+        eras: RegistryEras | None = None,
+        earlier_name_by_part: dict[str, str] | None = None,
     ) -> None:
+        """Prepare; earlier builds know a smaller part, by another name, in place of some parts."""
+        self._earlier_name_by_part = earlier_name_by_part or {}
         self.eras = eras or RegistryEras()
         self.eras.add_listener(self._on_restored)
         self._clock = clock
@@ -113,12 +120,25 @@
             if part.revision is not None
         }
 
+    def report_in(self, pong: Pong) -> None:
+        """State the progress in the answer to a ping, for earlier builds too.
+
+        Whoever knows all changes of a part knows those of a smaller part within it.
+        """
+        pong.parts = self.to_wire()
+        pong.progress = {
+            self._earlier_name_by_part.get(name, name): row for name, row in pong.parts.items()
+        }
+
     def merge(self, reported: dict[str, Any], asked_at: Millis) -> None:
         """Adopt a peer's progress; only to be called once all that the peer holds is held here.
 
-        `asked_at` is when the peer was asked: its report may have aged since then.
+        `asked_at` is when the peer was asked: its report may have aged since then. Parts that are
+        not expected, as peers of other builds may report, are ignored.
         """
         for name, row in reported.items():
+            if name not in self._expected:
+                continue
             if not _is_progress_row(name, row):
                 logger.bind(part=name).warning("a peer reported malformed progress; ignored")
                 continue
@@ -284,6 +304,11 @@
     return readers + others[: max(0, MIN_READERS - len(readers))]
 
 
+def reported_progress(pong: Pong) -> dict[str, Any]:
+    """Return the progress that a peer reports; one of an earlier build states it in one field."""
+    return pong.parts or pong.progress
+
+
 def reported_revision(reported: dict[str, Any], name: str) -> int:
     """Return the revision of a part in a peer's report, 0 if it is missing or malformed."""
     row = reported.get(name)
--- a/packages/firtrestle/firtrestle/relay_servers.py
+++ b/packages/firtrestle/firtrestle/relay_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from loguru import logger
@@ -35,12 +36,18 @@
     A refusal means that nothing was sent, so that the peer may ask another daemon.
     """
 
-    def __init__(self, tools: ServiceTools, state: ServingState) -> None:
+    def __init__(
+        self,
+        tools: ServiceTools,
+        state: ServingState,
+        knows_registry: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.running = 0
         self.served = 0
         self.refused = 0
         self._tools = tools
         self._state = state
+        self._knows_registry = knows_registry
         self._load = _LoadMeter(tools.clock, tools.loop)
 
     async def serve(self, relay: Relay) -> Relayed:
@@ -87,6 +94,8 @@
         """Return why no request of a peer is run now, empty if they are."""
         if self._state.stopping:
             return "stopping"
+        if not self._knows_registry():
+            return "not ready"
         uplink = self._tools.uplink
         if not uplink.is_settled or uplink.is_unheard:
             return "no links to the instances"
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -16,16 +16,18 @@
 from firtrestle.connect_probes import ConnectProber
 from firtrestle.crash_records import CrashRecords
 from firtrestle.departures import Departures
+from firtrestle.evacuation_items import EvacuationItems
+from firtrestle.evacuations import Evacuations
 from firtrestle.events import EventKind
 from firtrestle.fault_probes import FaultProbes
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
-from firtrestle.instance_pools import LEAVING, PAUSED, InstancePools, PoolTools
+from firtrestle.instance_pools import InstancePools, PoolTools
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
 from firtrestle.isolations import faults
 from firtrestle.kernels import Kernel
+from firtrestle.lapse_expiries import LapseExpiries
 from firtrestle.listeners import listen
-from firtrestle.logs import configure_logs
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.members import Members
 from firtrestle.messages import Done, Ping, PingFor, Pull, Relay
@@ -45,15 +47,16 @@
 from firtrestle.route_sources import SourcePublisher, SourceTools
 from firtrestle.routes import RouteTable
 from firtrestle.service_tools import ServiceTools
-from firtrestle.settings import Settings, load_settings
+from firtrestle.settings import Settings
+from firtrestle.settings_reloads import reload_settings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from firtrestle.unsent_replies import EVACUATED, LEAVING, PAUSED
 from firtrestle.uplink_monitors import UplinkMonitor
 from firtrestle.uplink_reports import UplinkReports
 from firtrestle.uplinks import Uplink, UplinkState
 
 HOUSEKEEPING_INTERVAL = Millis(500)
-MIN_EXPIRY_INTERVAL = Millis(20)  # collects the ends of lapses that were read together
 SLOW_REPORTS_INTERVAL = Millis(200)
 SLOW_REPORTS_PARTNERS = (2, 1)  # in this data centre, and in others, where bytes are scarce
 FLEET_DISCOVERY_TIME = Millis(2_000)  # after a start; until then a daemon may know few others
@@ -81,11 +84,12 @@
         self._settings_file = settings_file
         clock, rng = self.clock, self._rng
         self._started_at = clock.now()
-        self._awaits_lapses = False
         source = kernel.sources.get(settings.routes.source)
         caller_codec, instance_codec = kernel.codecs[settings.routes.source]
         self._clients = PeerClients(nursery)
-        self._progress = RegistryProgress(clock, source.parts, self._gossiper.eras)
+        self._progress = RegistryProgress(
+            clock, source.parts, self._gossiper.eras, source.earlier_name_by_part
+        )
         self._members = Members(
             Members.me_from_config(settings.daemon, self.incarnation),
             settings.peers,
@@ -107,6 +111,7 @@
         memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
         reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
         self._uplink = Uplink(clock, rng, self._on_uplink_change)
+        self._evacuations = Evacuations(clock)
         self._pools = InstancePools(
             PoolTools(
                 instance_codec,
@@ -117,6 +122,7 @@
                 reply_memory,
                 self._uplink,
                 settings.daemon.source_address,
+                self._evacuations.covers,
             )
         )
         self._departures = Departures(
@@ -133,8 +139,11 @@
             self._withdraw_waiting,
             self._crashes.record_instance_lost,
             Millis(settings.routes.check_in_ms),
-            self._await_lapses,
+            lambda: self._lapses.start(),
+            self._evacuations,
         )
+        self._lapses = LapseExpiries(self.instances, nursery)
+        self._evacuations.add_listener(self._on_evacuation)
         self._fault_probes = FaultProbes(
             self._uplink,
             self._crashes,
@@ -184,12 +193,20 @@
             reply_memory_bytes=reply_memory.limit_bytes,
         )
         self.state = RouteState(RouteTable())
-        self._relay_server = RelayServer(tools, self.state)
+        self._relay_server = RelayServer(tools, self.state, self._progress.complete.is_set)
         self._reader_role = ReaderRole(
             self._progress, self._members, clock, rng, self.instances.set_registry_reachable
         )
+        evacuation_items = EvacuationItems(
+            self.items, self._evacuations, self._progress, source.evacuations_part
+        )
         self._publisher = publisher = SourcePublisher(
-            self.items, self.instances, self._progress, source.instances_part, self._apply_routes
+            self.items,
+            self.instances,
+            self._progress,
+            source.instances_part,
+            self._apply_routes,
+            evacuation_items,
         )
         self.front = RouteFront(self.state, tools, caller_codec, rng, self._progress)
         self._source = source.from_config(
@@ -253,21 +270,6 @@
             self._update_fleet_size()
             await sleep(HOUSEKEEPING_INTERVAL)
 
-    def _await_lapses(self) -> None:
-        if not self._awaits_lapses:
-            self._awaits_lapses = True
-            self._nursery.start_soon(self._expire_lapses)
-
-    async def _expire_lapses(self) -> None:
-        """Drop each lapsed instance as its grace period ends, until none is left.
-
-        A grace period leaves little of the drain time, within which no request may be sent.
-        """
-        while (left := self.instances.time_until_expiry()) is not None:
-            await sleep(max(left, MIN_EXPIRY_INTERVAL))
-            self.instances.expire()
-        self._awaits_lapses = False
-
     async def _share_slow_reports(self) -> None:
         """Tell a few peers what changed in the reports on slow instances, forever."""
         async with trio.open_nursery() as nursery:
@@ -334,19 +336,7 @@
 
     def reload(self, settings_file: Path) -> None:
         """Apply the changed log settings; report other changes, which need a restart."""
-        settings = load_settings(settings_file)
-        if not isinstance(settings, Settings):
-            faults = [str(fault) for fault in settings]
-            logger.bind(faults=faults).error("settings not reloaded: the file has faults")
-            return
-        needs_restart = [
-            name
-            for name in Settings.model_fields
-            if name != "logs" and getattr(settings, name) != getattr(self.settings, name)
-        ]
-        self.settings = self.settings.model_copy(update={"logs": settings.logs})
-        configure_logs(settings.logs, settings.daemon)
-        logger.bind(level=settings.logs.level, waiting=needs_restart).info("settings reloaded")
+        self.settings = reload_settings(self.settings, settings_file)
 
     async def _stop(self, accept_scope: trio.CancelScope) -> None:
         """Report not ready, and finish the running requests within the grace period."""
@@ -412,6 +402,7 @@
         metrics.RELAYS_SERVED.set(self._relay_server.served)
         metrics.RELAYS_REFUSED.set(self._relay_server.refused)
         metrics.UNHEARD.set(self._uplink.unheard_for() / MILLIS_PER_SECOND)
+        metrics.EVACUATED.set(len(self._evacuations.zones()))
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
         metrics.LIMITED.set(self._rate_limits.count())
@@ -437,6 +428,7 @@
             "instances": self.instances.count(),
             "connections": self._pools.open_connections,
             "registry_eras": self._progress.eras.to_wire(),
+            "evacuated": self._evacuations.status(),
             "members": {m.id: m.status.name.lower() for m in self._members.by_id.values()},
             "uplink": str(self._uplink.state),
             "opens_connections": self._uplink.opens,
@@ -478,6 +470,12 @@
         if instance is not None:
             self._withdraw_waiting(instance)
 
+    def _on_evacuation(self, zone: str) -> None:
+        """Let the calls that wait for an instance of an evacuated data centre go to another one."""
+        for instance in self.instances.all():
+            if self._evacuations.covers(instance.data_centre):
+                self._pools.refuse_waiting(instance.replica_id, EVACUATED)
+
     def _withdraw_waiting(self, instance: Instance) -> None:
         """Let the calls that wait for a leaving instance go to another one.
 
@@ -497,7 +495,7 @@
         match value:
             case Ping():
                 pong = self._gossiper.serve_ping(value)
-                pong.progress = self._progress.to_wire()
+                self._progress.report_in(pong)
                 return pong
             case PingFor():
                 return await self._members.serve_ping_for(value)
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -124,7 +124,8 @@
             with move_on_after(MAX_STARTUP_WAIT):
                 await self._progress.complete.wait()
         table = self.state.table
-        if table.version == 0:
+        # Without the registry's state, a request might be sent to an evacuated data centre.
+        if table.version == 0 or not self._progress.complete.is_set():
             refused = Refused(ErrorKind.NOT_READY, retry_after=Millis(500))
             return self._refuse(request_id, "", arrived_at, refused)
         route = table.route_for(request.message.host, request.path)
@@ -181,6 +182,7 @@
             registry_age_ms=self._progress.logged_age(),
             status=answer.status,
             missing=answer.missing,
+            evacuated=self._tools.instances.evacuations.zones(),
             left_out={name: str(reason) for name, reason in summary.reason_by_service.items()},
             sent=summary.sent,
             hedges=summary.hedges,
@@ -209,6 +211,7 @@
             kind=str(refused.kind),
             ran=str(refused.ran),
             detail=refused.detail,
+            evacuated=self._tools.instances.evacuations.zones(),
             sent=gather.attempt_summary.sent if gather is not None else 0,
             relayed_to=gather.attempt_summary.relayed_to if gather is not None else "",
             after_ms=round(self._clock.now() - arrived_at, 1),
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -11,15 +11,20 @@
 from loguru import logger
 
 from firtrestle.clocks import Clock, Millis
-from firtrestle.gossip_maps import ERA_BOUND_PREFIX, GossipMap, Item
+from firtrestle.evacuation_items import EvacuationItems
+from firtrestle.gossip_maps import INSTANCE_PREFIX, GossipMap, Item
 from firtrestle.instances import EARLIER_ERA_REVISION, Instance, Instances
 from firtrestle.messages import Ping, Pong
-from firtrestle.registry_readers import ReaderRole, RegistryProgress, reported_revision
+from firtrestle.registry_readers import (
+    ReaderRole,
+    RegistryProgress,
+    reported_progress,
+    reported_revision,
+)
 from firtrestle.routes import RouteTable
 from firtrestle.settings import Settings
 
 ROUTES_KEY = "routes"
-INSTANCE_PREFIX = ERA_BOUND_PREFIX
 MAX_ROUTES_BYTES = 16_000_000  # uncompressed; no operator writes a larger desired state
 ZLIB_LEVEL = 1  # the fastest; pays off, as desired states are repetitive and links slow
 
@@ -51,6 +56,8 @@
     name: str
     parts: frozenset[str]  # parts that are read separately, each with its own revision
     instances_part: str  # the part that holds the instances
+    evacuations_part: str  # the part that holds the evacuations
+    earlier_name_by_part: dict[str, str]  # of smaller parts that earlier builds read instead
 
     @classmethod
     def from_config(cls, settings: Settings, tools: SourceTools) -> RouteSource:
@@ -79,7 +86,9 @@
         progress: RegistryProgress,
         instances_part: str,
         apply: Callable[[RouteTable], None],
+        evacuations: EvacuationItems,
     ) -> None:
+        self.evacuations = evacuations
         self._items = items
         self._instances = instances
         self._progress = progress
@@ -153,7 +162,8 @@
             return
         if self._has_changed_since(ping, pong):
             return
-        known_revision = reported_revision(pong.progress, self._instances_part)
+        reported = reported_progress(pong)
+        known_revision = reported_revision(reported, self._instances_part)
         for key, stamp in self._items.stamps_in(pong.buckets).items():
             is_missing = key.startswith(INSTANCE_PREFIX) and key not in pong.stamps
             if is_missing and stamp <= known_revision and self._items.by_key[key].value:
@@ -162,7 +172,8 @@
                     instance=instance_id, revision=stamp, known_revision=known_revision
                 ).info("instance unknown to a peer that knows later changes")
                 self.remove_instance(instance_id, known_revision)
-        self._progress.merge(pong.progress, asked_at)
+        self.evacuations.synchronize(pong)
+        self._progress.merge(reported, asked_at)
 
     def _has_changed_since(self, ping: Ping, pong: Pong) -> bool:
         """Return whether a bucket outside the answer has changed since the ping was sent.
--- a/packages/firtrestle/tests/test_registry_models.py
+++ b/packages/firtrestle/tests/test_registry_models.py
@@ -8,6 +8,7 @@
 
 from firtrestle.clocks import Millis
 from firtrestle.departures import Departures
+from firtrestle.evacuation_items import EvacuationItems
 from firtrestle.gossip_maps import Gossiper, GossipMap
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping
@@ -34,8 +35,9 @@
         self.instances = Instances(clock, lambda gone: None, departures)
         self.applied = []
         self.progress = RegistryProgress(clock, frozenset({PART}), self.eras)
+        evacuations = EvacuationItems(self.items, self.instances.evacuations, self.progress, PART)
         self.publisher = SourcePublisher(
-            self.items, self.instances, self.progress, PART, self.applied.append
+            self.items, self.instances, self.progress, PART, self.applied.append, evacuations
         )
         self.publisher.start(lambda text: RouteTable(int(text)) if text else ParseFailure("empty"))
 
--- a/packages/firtrestle/tests/test_route_sources.py
+++ b/packages/firtrestle/tests/test_route_sources.py
@@ -5,6 +5,7 @@
 import trio
 from firtrestle.clocks import Clock, Millis
 from firtrestle.departures import Departures
+from firtrestle.evacuation_items import EvacuationItems
 from firtrestle.gossip_maps import Gossiper, GossipMap
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping
@@ -33,8 +34,9 @@
         self.instances = Instances(clock, lambda gone: None, departures)
         self.applied = []
         self.progress = RegistryProgress(clock, frozenset({PART}), self.eras)
+        evacuations = EvacuationItems(self.items, self.instances.evacuations, self.progress, PART)
         self.publisher = SourcePublisher(
-            self.items, self.instances, self.progress, PART, self.applied.append
+            self.items, self.instances, self.progress, PART, self.applied.append, evacuations
         )
         self.publisher.start(parse)
 
