--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -2,15 +2,16 @@
 
 import random
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import h11
 import trio
 from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import Clock, Millis
+from firtrestle.http_clients import HttpConnection
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import (
     CANCELLED_REPLY_TIMEOUT,
-    PAUSED,
     InstanceCall,
     InstancePools,
     PoolTools,
@@ -19,6 +20,7 @@
 from firtrestle.instances import Instance
 from firtrestle.outcomes import SubOutcome
 from firtrestle.receive_bounds import ReceiveMemory
+from firtrestle.unsent_replies import EVACUATED, PAUSED
 from firtrestle.uplinks import Uplink
 
 FAR_DEADLINE = Millis(1_000_000_000)
@@ -44,11 +46,19 @@
         self.instance = Instance("i", "s", "127.0.0.1", port, "dc", 3, False, 1)
         clock = Clock()
         self.backoffs = Backoffs(clock, random.Random(1))
+        self.evacuated = set()
         self.observed = []
         self.memory = ReceiveMemory(1_000_000)
         self.uplink = Uplink(clock, random.Random(1))
         tools = PoolTools(
-            Codec(), clock, nursery, self.backoffs, self.observe, self.memory, self.uplink
+            Codec(),
+            clock,
+            nursery,
+            self.backoffs,
+            self.observe,
+            self.memory,
+            self.uplink,
+            is_evacuated=lambda data_centre: data_centre in self.evacuated,
         )
         self.pools = InstancePools(tools)
         self.replies = []
@@ -171,6 +181,57 @@
         assert [(reply.reached, reply.may_have_run) for reply in unsent] == [(False, False)] * 6
 
 
+# Guards against calls that were started before an evacuation being sent after it.
+async def test_calls_that_wait_when_their_data_centre_is_evacuated_are_not_sent():
+    async with pool_fixture() as fixture:
+        fixture.gate = trio.Event()
+        fixture.start("/first")
+        await fixture.wait_until(lambda: fixture.served == ["/first"])
+        fixture.start("/waiting")
+        await fixture.wait_until(lambda: fixture.pools.waiting == 1)
+        fixture.evacuated.add("dc")
+        fixture.pools.refuse_waiting(fixture.instance.replica_id, EVACUATED)
+        await fixture.wait_until(lambda: len(fixture.replies) == 1)
+        fixture.start("/later")
+        fixture.gate.set()
+        await fixture.wait_until(lambda: len(fixture.replies) == 3)
+        assert fixture.served == ["/first"]
+        unsent = [reply for reply in fixture.replies if reply.outcome is SubOutcome.DRAINING]
+        assert [(reply.reached, reply.may_have_run) for reply in unsent] == [(False, False)] * 2
+
+
+# Guards against a call being sent that gets its connection as the data centre is evacuated.
+async def test_a_call_whose_connection_opens_during_an_evacuation_is_not_sent(monkeypatch):
+    open_connection = HttpConnection.open
+
+    async def open_and_evacuate(*args):
+        connection = await open_connection(*args)
+        fixture.evacuated.add("dc")
+        return connection
+
+    async with pool_fixture() as fixture:
+        monkeypatch.setattr(HttpConnection, "open", open_and_evacuate)
+        fixture.start("/opening")
+        await fixture.wait_until(lambda: len(fixture.replies) == 1)
+        assert (fixture.served, fixture.opened) == ([], 1)
+        assert (fixture.replies[0].outcome, fixture.replies[0].may_have_run) == (
+            SubOutcome.DRAINING,
+            False,
+        )
+
+
+# Guards against a data centre that is corrected in a registration being ignored by open pools.
+async def test_the_data_centre_of_the_newest_registration_counts():
+    async with pool_fixture() as fixture:
+        fixture.start("/first")
+        await fixture.wait_until(lambda: len(fixture.replies) == 1)
+        fixture.evacuated.add("dc")
+        fixture.instance = replace(fixture.instance, data_centre="other")
+        fixture.start("/second")
+        await fixture.wait_until(lambda: len(fixture.replies) == 2)
+        assert fixture.served == ["/first", "/second"]
+
+
 async def test_calls_that_wait_for_an_instance_that_is_gone_are_not_sent():
     async with pool_fixture() as fixture:
         fixture.gate = trio.Event()
--- a/packages/firtrestle/tests/test_registry_models.py
+++ b/packages/firtrestle/tests/test_registry_models.py
@@ -1,7 +1,8 @@
 """Model check: a daemon that reports all changes up to a revision as known holds them.
 
 Simulated daemons continue reading a registry at their last revision, push changes or lose them,
-exchange pings and repairs, and restart. The registry is restored from copies. There is no network.
+exchange pings and repairs, and restart. The registry holds instances and evacuations of data
+centres. It is restored from copies. There is no network.
 """
 
 import random
@@ -9,7 +10,7 @@
 from firtrestle.clocks import Millis
 from firtrestle.departures import Departures
 from firtrestle.evacuation_items import EvacuationItems
-from firtrestle.gossip_maps import Gossiper, GossipMap
+from firtrestle.gossip_maps import EVACUATION_PREFIX, Gossiper, GossipMap
 from firtrestle.instances import Instance, Instances
 from firtrestle.messages import Ping
 from firtrestle.registry_eras import RegistryEras
@@ -24,6 +25,7 @@
 PART = "instances"
 DAEMONS = st.integers(0, 3)
 IDS = st.sampled_from("abcde")
+ZONES = st.sampled_from(["zone/x", "zone/y"])  # names of evacuations among those of instances
 
 
 class Daemon:
@@ -59,7 +61,7 @@
         self.rng = random.Random(1)
         self.revision = 1
         self.version = 1
-        self.events = []  # (revision, id, instance or None)
+        self.events = []  # (revision, id, instance or None), True for an evacuation
         self.current = {}
         self.era = 1
         self.events_by_era = {1: self.events}
@@ -73,7 +75,13 @@
         self.current[name] = Instance(name, "s", "h", 1, "dc", 3, draining, born)
         self.events.append((self.revision, name, self.current[name]))
 
-    @rule(name=IDS)
+    @rule(name=ZONES)
+    def evacuate(self, name):
+        self.revision += 1
+        self.current[name] = True
+        self.events.append((self.revision, name, True))
+
+    @rule(name=st.one_of(IDS, ZONES))
     def remove(self, name):
         if self.current.pop(name, None) is not None:
             self.revision += 1
@@ -112,15 +120,21 @@
     def read_completely(self, daemon):
         last = {name: revision for revision, name, _ in self.events}
         for name, instance in self.current.items():
-            daemon.publisher.publish_instance(instance, last[name], is_complete_read=True)
+            self.publish_event(daemon, last[name], name, instance, is_complete_read=True)
         daemon.publisher.retain_instances(set(self.current), self.revision)
+        zones = {zone_of(name) for name in self.current if is_zone(name)}
+        daemon.publisher.evacuations.retain(zones, self.revision)
         daemon.progress.advance(PART, self.revision)
 
-    def publish_event(self, daemon, revision, name, instance):
-        if instance is None:
+    def publish_event(self, daemon, revision, name, instance, is_complete_read=False):
+        if is_zone(name) and instance is None:
+            daemon.publisher.evacuations.withdraw(zone_of(name), revision)
+        elif is_zone(name):
+            daemon.publisher.evacuations.publish(zone_of(name), revision)
+        elif instance is None:
             daemon.publisher.remove_instance(name, revision)
         else:
-            daemon.publisher.publish_instance(instance, revision)
+            daemon.publisher.publish_instance(instance, revision, is_complete_read)
 
     @rule(number=DAEMONS, other=DAEMONS, lost=st.booleans(), late=st.booleans())
     def push(self, number, other, lost, late):
@@ -168,12 +182,12 @@
                 if revision <= known:
                     last[name] = (revision, instance)
             for name, (revision, instance) in last.items():
-                item = daemon.items.by_key.get(INSTANCE_PREFIX + name)
+                item = daemon.items.by_key.get(key_of(name))
                 if instance is None and item is None:
                     continue  # removed before this daemon read anything
                 assert item is not None, f"{name}@{revision} is not held, but {known} is reported"
                 if item.stamp <= revision:
-                    held = Instance(name, *item.value) if item.value else None
+                    held = value_of(name, item)
                     assert held == instance, f"{name} differs from the registry at revision {known}"
 
     def teardown(self):
@@ -186,6 +200,7 @@
         self.wait(60_000)
         for daemon in self.daemons:
             held = {instance.id: instance for instance in daemon.instances.all()}
+            held |= {f"zone/{zone}": True for zone in daemon.instances.evacuations.zones()}
             assert held == self.current
 
     @invariant()
@@ -195,6 +210,24 @@
             assert versions == sorted(set(versions))
 
 
+def is_zone(name):
+    return name.startswith("zone/")
+
+
+def zone_of(name):
+    return name.removeprefix("zone/")
+
+
+def value_of(name, item):
+    if not item.value:
+        return None
+    return True if is_zone(name) else Instance(name, *item.value)
+
+
+def key_of(name):
+    return EVACUATION_PREFIX + zone_of(name) if is_zone(name) else INSTANCE_PREFIX + name
+
+
 TestRegistryModel = RegistryModel.TestCase
 TestRegistryModel.settings = settings(
     max_examples=300, stateful_step_count=40, deadline=None, derandomize=True
--- a/packages/firtrestle/tests/test_route_sources.py
+++ b/packages/firtrestle/tests/test_route_sources.py
@@ -1,69 +1,10 @@
-import json
-import random
-
 import pytest
 import trio
-from firtrestle.clocks import Clock, Millis
-from firtrestle.departures import Departures
-from firtrestle.evacuation_items import EvacuationItems
-from firtrestle.gossip_maps import Gossiper, GossipMap
-from firtrestle.instances import Instance, Instances
+from firtrestle.clocks import Millis
 from firtrestle.messages import Ping
-from firtrestle.registry_eras import RegistryEras
-from firtrestle.registry_readers import RegistryProgress
-from firtrestle.route_sources import ParseFailure, SourcePublisher
-from firtrestle.routes import RouteTable
 from hypothesis import given
 from hypothesis import strategies as st
-
-PART = "instances"
-
-
-def parse(text):
-    version = json.loads(text)
-    return RouteTable(version) if version else ParseFailure("no version")
-
-
-class Daemon:
-    def __init__(self) -> None:
-        clock = Clock()
-        self.items = GossipMap()
-        self.eras = RegistryEras()
-        self.gossiper = Gossiper(self.items, 3, random.Random(1), clock, self.eras)
-        departures = Departures(GossipMap(), clock, Millis(3_000))
-        self.instances = Instances(clock, lambda gone: None, departures)
-        self.applied = []
-        self.progress = RegistryProgress(clock, frozenset({PART}), self.eras)
-        evacuations = EvacuationItems(self.items, self.instances.evacuations, self.progress, PART)
-        self.publisher = SourcePublisher(
-            self.items, self.instances, self.progress, PART, self.applied.append, evacuations
-        )
-        self.publisher.start(parse)
-
-    def ping(self, other: "Daemon") -> None:
-        ping = Ping("d", list(self.items.digest), self.eras.to_wire())
-        pong = other.gossiper.serve_ping(ping)
-        pong.progress = other.progress.to_wire()
-        repair = self.gossiper.repair_for(pong)
-        if repair is not None:
-            answer = other.gossiper.serve_pull(repair)
-            self.gossiper.store_rows(answer.items, answer.eras)
-        self.publisher.synchronize(ping, pong, Millis(0))
-
-    def receive_all_from(self, other: "Daemon", eras: list[int] | None = None) -> None:
-        rows = other.items.rows(list(other.items.by_key))
-        self.gossiper.store_rows(rows, other.eras.to_wire() if eras is None else eras)
-
-    def read_completely(self, era: int, revision: int, **revision_by_id: int) -> None:
-        self.eras.observe(era)
-        for name, registered_at in revision_by_id.items():
-            self.publisher.publish_instance(instance(name), registered_at, is_complete_read=True)
-        self.publisher.retain_instances(set(revision_by_id), revision)
-        self.progress.advance(PART, revision)
-
-
-def instance(name="a", draining=False):
-    return Instance(name, "s", "h", 1, "dc", 3, draining, 1)
+from source_fakes import PART, Daemon, instance
 
 
 async def test_a_daemon_refused_by_the_store_gets_its_state_from_a_peer():
