--- a/packages/firtrestle/tests/test_evacuations.py
+++ b/packages/firtrestle/tests/test_evacuations.py
@@ -1,14 +1,21 @@
 """Check which data centres count as evacuated, what is logged, and what requests do then."""
 
+from dataclasses import replace
+
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
 from firtrestle.departures import Departures
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.evacuations import Evacuations
 from firtrestle.gossip_maps import GossipMap
-from firtrestle.instance_replies import unsent_reply
+from firtrestle.instance_replies import CallerMessage, unsent_reply
 from firtrestle.instances import Instance, Instances
+from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.outcomes import SubOutcome
+from firtrestle.relay_messages import RelayTerms, encode_relay
+from firtrestle.relay_servers import RelayServer
+from firtrestle.route_fronts import RouteState
+from firtrestle.routed_requests import RoutedRequest
 from loguru import logger
 from manual_clocks import ManualClock
 from route_fakes import good, plain_route, run_with_harness, scatter_route
@@ -144,3 +151,21 @@
         return 5, good(instance)
 
     run_with_harness(behave, body)
+
+
+# Guards against requests of peers reaching an evacuated data centre from a daemon that has started.
+def test_a_daemon_that_does_not_know_the_evacuations_runs_no_request_of_a_peer():
+    async def body(harness):
+        now = harness.tools.clock.now()
+        message = CallerMessage("r1", "GET", "/p/x", "h", (), b"")
+        route = scatter_route(2)
+        request = RoutedRequest(message, route, harness.table, now, Millis(now + 1_000))
+        relay = encode_relay(request, RelayTerms(route.shards), Millis(0), Millis(900))
+        tools = replace(harness.tools, loop=LoopMonitor(harness.tools.clock))
+        knowledge = [False, True]
+        server = RelayServer(tools, RouteState(harness.table), lambda: knowledge.pop(0))
+        assert (await server.serve(relay)).refusal == "not ready"
+        assert harness.pools.sent == []
+        assert len((await server.serve(relay)).replies) == 2
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
