--- a/packages/firtrestle/firtrestle/evacuation_items.py
+++ b/packages/firtrestle/firtrestle/evacuation_items.py
@@ -53,9 +53,9 @@
 
     def retain(self, zones: set[str], revision: int) -> None:
         """Publish the end of all evacuations but those that a complete read at a revision found."""
-        for key, item in self._items.with_prefix(EVACUATION_PREFIX).items():
+        for key in self._items.with_prefix(EVACUATION_PREFIX):
             zone = key.removeprefix(EVACUATION_PREFIX)
-            if zone not in zones and item.stamp < revision:
+            if zone not in zones:
                 self.withdraw(zone, revision)
 
     def synchronize(self, pong: Pong) -> None:
