Bound requests to cold instances over all daemons

Cause: an instance that has just started can bear few requests a second. Its registration says for how long, which was decoded and dropped. Change: readers publish warm-ups of services with a bound as gossip items bound to the store's era. Calls that waited for a connection are refused unsent if the permit is gone by then.

--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -28,6 +28,7 @@
 from firtrestle.http_servers import HttpRequest
 from firtrestle.instance_pools import InstancePools, PoolTools
 from firtrestle.instances import Instance, Instances
+from firtrestle.known_daemons import KnownDaemons
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
@@ -44,6 +45,7 @@
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.uplinks import Uplink
+from firtrestle.warm_ups import WarmUps
 from firtrestle_platform.callers import PlatformCallerCodec
 from firtrestle_platform.searchers import SearcherCodec
 from loguru import logger
@@ -106,6 +108,8 @@
     trio.lowlevel.add_instrument(loop)
     memory = ReceiveMemory(MEMORY_BYTES)
     uplink = Uplink(clock, rng)
+    daemons = KnownDaemons("d1", "dc", clock, expects_peers=False)
+    warm_ups = WarmUps(clock, daemons, None, lambda replica_id: None)
     tools = ServiceTools(
         clock=clock,
         rng=rng,
@@ -119,6 +123,7 @@
                 clock,
                 nursery,
                 backoffs,
+                warm_ups,
                 lambda *_: None,
                 memory,
                 uplink,
@@ -129,6 +134,7 @@
         crashes=CrashRecords(items, clock),
         backoffs=backoffs,
         rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
+        warm_ups=warm_ups,
         slow_reports=SlowReports(clock, instances.count, lambda *_: None),
         loop=loop,
         uplink=uplink,
--- a/packages/firtrestle/firtrestle/gossip_maps.py
+++ b/packages/firtrestle/firtrestle/gossip_maps.py
@@ -20,7 +20,10 @@
 BATCH_DELAY = Millis(5)
 MAX_ITEMS_PER_PULL = 2_000
 LARGE_VALUE_BYTES = 1_024  # text or bytes of this size are announced before being sent
-ERA_BOUND_PREFIX = "instance/"  # of items whose stamps are revisions of a registry
+INSTANCE_PREFIX = "instance/"
+WARM_UP_PREFIX = "warm-up/"
+# Of items whose stamps are revisions of a registry.
+ERA_BOUND_PREFIXES = (INSTANCE_PREFIX, WARM_UP_PREFIX)
 REQUEST_WAIT = Millis(500)  # how long an announced item is awaited before another peer is asked
 
 Validator = Callable[[str, int, Any], bool]
@@ -234,7 +237,7 @@
 
 
 def _is_era_bound(key: Any) -> bool:
-    return isinstance(key, str) and key.startswith(ERA_BOUND_PREFIX)
+    return isinstance(key, str) and key.startswith(ERA_BOUND_PREFIXES)
 
 
 def _without_era_bound(stamps: dict[str, int]) -> dict[str, int]:
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -18,6 +18,7 @@
     HttpFailure,
     ReplyOverBounds,
 )
+from firtrestle.idle_connections import IdleConnection
 from firtrestle.instance_replies import (
     CallerMessage,
     InstanceCodec,
@@ -31,6 +32,7 @@
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.snapshots import ReplicaId
 from firtrestle.uplinks import Uplink
+from firtrestle.warm_ups import WarmUps
 
 # A loaded instance accepts within about 10 ms; a TCP retransmission takes longer than this timeout.
 CONNECT_TIMEOUT = Millis(400)
@@ -48,6 +50,7 @@
 _GONE = unsent_reply(SubOutcome.DRAINING, "the instance is gone")
 LEAVING = unsent_reply(SubOutcome.DRAINING, "the instance is leaving")
 PAUSED = unsent_reply(SubOutcome.SHED, "the instance asked for a pause")
+COLD = unsent_reply(SubOutcome.SHED, "the instance is cold, and this daemon has no permit")
 
 
 @dataclass(slots=True, eq=False)
@@ -90,17 +93,6 @@
         self.scope.cancel()
 
 
-@dataclass(slots=True)
-class _IdleConnection:
-    connection: HttpConnection
-    idle_since: Millis
-    max_idle: Millis
-
-    def is_usable(self, now: Millis) -> bool:
-        """Return whether it has neither expired nor been closed or written to by the instance."""
-        return now - self.idle_since < self.max_idle and self.connection.has_no_pending_input()
-
-
 @dataclass(slots=True, eq=False)
 class _Waiter:
     """Represent a call that waits for a connection, until one is free or the call is refused."""
@@ -117,6 +109,7 @@
     clock: Clock
     nursery: trio.Nursery
     backoffs: Backoffs
+    warm_ups: WarmUps
     observe: ObserveReply
     memory: ReceiveMemory  # for unfinished replies
     uplink: Uplink
@@ -136,11 +129,12 @@
         self._clock = tools.clock
         self._nursery = tools.nursery
         self._backoffs = tools.backoffs
+        self._warm_ups = tools.warm_ups
         self._observe = tools.observe
         self._memory = tools.memory
         self._source = tools.source
         self._uplink = tools.uplink
-        self._idle: list[_IdleConnection] = []
+        self._idle: list[IdleConnection] = []
         self._waiters: deque[_Waiter] = deque()
         self._calls: set[InstanceCall] = set()
         self._sent_calls: list[InstanceCall] = []
@@ -184,7 +178,7 @@
     def close_stale(self) -> None:
         """Close idle connections that expired or that the instance has closed or written to."""
         now = self._clock.now()
-        kept: list[_IdleConnection] = []
+        kept: list[IdleConnection] = []
         for idle in self._idle:
             if idle.is_usable(now):
                 kept.append(idle)
@@ -227,6 +221,10 @@
         message = call.message
         max_idle = MAX_IDLE_TIME
         refusal = self._refusal()
+        if refusal is None and not self._warm_ups.claim(
+            self.instance.replica_id, message.request_id
+        ):
+            refusal = COLD
         if refusal is not None:  # removed, or asked for a pause, while the connection was opened
             call.finish(refusal)
             self._release_connection(connection, max_idle)
@@ -339,7 +337,7 @@
 
     def _release_connection(self, connection: HttpConnection, max_idle: Millis) -> None:
         if connection.usable and not self._closed and max_idle > 0:
-            self._idle.append(_IdleConnection(connection, self._clock.now(), max_idle))
+            self._idle.append(IdleConnection(connection, self._clock.now(), max_idle))
             self._wake_next_waiter()
         else:
             self._nursery.start_soon(self._close_connection, connection)
--- a/packages/firtrestle/firtrestle/instances.py
+++ b/packages/firtrestle/firtrestle/instances.py
@@ -30,7 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """Represent a registered instance of a service; `born` is its start in Unix time, in ms."""
+    """Represent a registered instance of a service; `born` is its start in Unix time, in ms.
+
+    `warm_up_left` is known only to the daemon that read the registration.
+    """
 
     id: str
     service: str
@@ -40,6 +43,7 @@
     slots: int
     draining: bool
     born: int
+    warm_up_left: Millis = field(default=Millis(0), compare=False)
     replica_id: ReplicaId = field(init=False, compare=False, repr=False)
 
     def __post_init__(self) -> None:
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -1,5 +1,7 @@
 """Define the daemon's Prometheus metrics."""
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 REGISTRY = CollectorRegistry()
@@ -113,6 +115,12 @@
     "Instances that name the rate of requests that they take",
     registry=REGISTRY,
 )
+WARM_UPS = Gauge(
+    "firtrestle_warm_ups",
+    "Cold instances with a bound, and requests to them that were sent or refused since the start",
+    ["number"],
+    registry=REGISTRY,
+)
 REPEATS_LEFT = Gauge(
     "firtrestle_repeats_left",
     "Repeats that a window still allows",
@@ -142,6 +150,12 @@
 )
 
 
+def set_by_label(gauge: Gauge, value_by_label: Mapping[str, float]) -> None:
+    """Set a gauge that has one label, for each value of it."""
+    for label, value in value_by_label.items():
+        gauge.labels(label).set(value)
+
+
 def exposition() -> bytes:
     """Return all metrics in the Prometheus text format."""
     return generate_latest(REGISTRY)
--- a/packages/firtrestle/firtrestle/peer_servers.py
+++ b/packages/firtrestle/firtrestle/peer_servers.py
@@ -11,7 +11,14 @@
 from firtrestle.frames import drain, unpack
 from firtrestle.isolations import faults, first_leaf
 from firtrestle.messages import BadFrame, Cancel, Done, SubRequest, encode, new_unpacker
-from firtrestle.peers import CHUNK_BYTES, MAX_QUEUED_FRAMES, Cancellable, Deliver
+from firtrestle.peers import (
+    CHUNK_BYTES,
+    FINISHED,
+    MAX_QUEUED_FRAMES,
+    Cancellable,
+    Deliver,
+    PeerFailure,
+)
 
 MAX_CALLS_PER_STREAM = 10_000
 
@@ -105,6 +112,12 @@
             await stream.send_all(batch)
 
 
+def refuse_sub_request(sub: SubRequest, deliver: Deliver) -> Cancellable:
+    """Refuse a sub-request of a peer, for a daemon that sends its own straight to instances."""
+    deliver(PeerFailure(False, "sub-requests go straight to instances"))
+    return FINISHED
+
+
 def _answer(send: Any, call_id: int, value: Any) -> None:
     try:
         send.send_nowait(encode(call_id, value))
--- a/packages/firtrestle/firtrestle/repeat_budgets.py
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from firtrestle.clocks import Clock, Millis
+from firtrestle.settings import RouteSettings
 
 SAFETY_FACTOR = 0.9  # leaves a margin, as repeats arrive later than they are counted
 MAX_HEDGE_SHARE = 0.7  # share of a window's allowance; the rest is kept for retries
@@ -21,6 +22,12 @@
     slack: float
     window: Millis
 
+    @classmethod
+    def from_config(cls, settings: RouteSettings) -> RepeatTerms:
+        """Build from the settings."""
+        window = Millis(settings.repeat_window_ms)
+        return cls(settings.repeat_ratio, settings.repeat_slack, window)
+
 
 class _SlicedCounter:
     """Count events in slices of a window, for at least the last three windows."""
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -30,8 +30,8 @@
 from firtrestle.members import Members
 from firtrestle.messages import Done, Ping, PingFor, Pull, Relay
 from firtrestle.pauses import PauseGuard
-from firtrestle.peer_servers import PeerServer
-from firtrestle.peers import FINISHED, Cancellable, PeerAddress, PeerClients, PeerFailure
+from firtrestle.peer_servers import PeerServer, refuse_sub_request
+from firtrestle.peers import PeerAddress, PeerClients
 from firtrestle.rate_limits import RateLimits
 from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.registry_readers import ReaderRole, RegistryProgress
@@ -51,6 +51,7 @@
 from firtrestle.uplink_monitors import UplinkMonitor
 from firtrestle.uplink_reports import UplinkReports
 from firtrestle.uplinks import Uplink, UplinkState
+from firtrestle.warm_up_items import WarmUpItems
 
 HOUSEKEEPING_INTERVAL = Millis(500)
 MIN_EXPIRY_INTERVAL = Millis(20)  # collects the ends of lapses that were read together
@@ -100,10 +101,13 @@
         self._pause_guard = PauseGuard(
             clock, self.events, Millis(settings.peers.pause_ms), self._members.refresh
         )
-        self._peer_server = PeerServer(self._serve_peer, _refuse_sub_request)
+        self._peer_server = PeerServer(self._serve_peer, refuse_sub_request)
         self._replicas = Replicas(clock)
         self._backoffs = Backoffs(clock, rng)
         self._rate_limits = RateLimits(clock, rng, self._count_users)
+        self._warm_ups = WarmUpItems.from_config(
+            settings, self.items, clock, lambda replica_id: self.instances.get(replica_id)
+        )
         memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
         reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
         self._uplink = Uplink(clock, rng, self._on_uplink_change)
@@ -113,6 +117,7 @@
                 clock,
                 nursery,
                 self._backoffs,
+                self._warm_ups.warm_ups,
                 self._observe_reply,
                 reply_memory,
                 self._uplink,
@@ -145,7 +150,7 @@
         self._uplink_monitor = UplinkMonitor(
             self._uplink, self._fault_probes, self._pools.silent, clock, rng
         )
-        self._budgets = self._build_budgets()
+        self._budgets = RepeatBudgets(RepeatTerms.from_config(settings.routes), clock, clock.now())
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
@@ -176,6 +181,7 @@
             crashes=self._crashes,
             backoffs=self._backoffs,
             rate_limits=self._rate_limits,
+            warm_ups=self._warm_ups.warm_ups,
             slow_reports=self._slow_reports,
             loop=self._loop,
             uplink=self._uplink,
@@ -189,7 +195,12 @@
             self._progress, self._members, clock, rng, self.instances.set_registry_reachable
         )
         self._publisher = publisher = SourcePublisher(
-            self.items, self.instances, self._progress, source.instances_part, self._apply_routes
+            self.items,
+            self.instances,
+            self._progress,
+            source.instances_part,
+            self._apply_routes,
+            self._warm_ups,
         )
         self.front = RouteFront(self.state, tools, caller_codec, rng, self._progress)
         self._source = source.from_config(
@@ -206,13 +217,6 @@
         )
         self._operator_http = HttpServer(self._handle_operator, HttpBounds(), front.max_connections)
 
-    def _build_budgets(self) -> RepeatBudgets:
-        routes = self.settings.routes
-        terms = RepeatTerms(
-            routes.repeat_ratio, routes.repeat_slack, Millis(routes.repeat_window_ms)
-        )
-        return RepeatBudgets(terms, self.clock, self.clock.now())
-
     async def run(self) -> None:
         """Serve until stopped; raise OSError if a port cannot be bound."""
         daemon = self.settings.daemon
@@ -246,6 +250,7 @@
             self._departures.expire()
             self._backoffs.expire()
             self._rate_limits.expire()
+            self._warm_ups.expire()
             self._slow_reports.expire()
             self._crashes.expire()
             self._pools.close_stale()
@@ -394,15 +399,13 @@
         metrics.ROWS_OF_OTHER_ERAS.set(eras.refused_rows)
         metrics.PLATFORM_READS.set(self._source.status()["calls"])
         metrics.RUNNING.set(self.state.running)
-        for task, count in faults.count_by_task.items():
-            metrics.ISOLATED_FAULTS.labels(task).set(count)
+        metrics.set_by_label(metrics.ISOLATED_FAULTS, faults.count_by_task)
         metrics.LOOP_BUSY.set(self._loop.busy_time() / MILLIS_PER_SECOND)
         metrics.IN_FLIGHT.set(sum(replica.in_flight for replica in self._replicas.by_id.values()))
         metrics.QUEUED.set(self._pools.waiting)
         metrics.OVER_BOUNDS.set(self._pools.replies_over_bounds)
         metrics.CONNECTIONS.set(self._pools.open_connections)
-        for state, count in self._replicas.count_by_state().items():
-            metrics.REPLICAS.labels(state).set(count)
+        metrics.set_by_label(metrics.REPLICAS, self._replicas.count_by_state())
         metrics.REPORTED_SLOW.set(self._slow_reports.slow_count())
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
@@ -415,9 +418,9 @@
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
         metrics.LIMITED.set(self._rate_limits.count())
+        metrics.set_by_label(metrics.WARM_UPS, self._warm_ups.warm_ups.counts())
         metrics.QUARANTINED.set(self._crashes.quarantined())
-        for service, repeats_left in self._budgets.remaining_by_service().items():
-            metrics.REPEATS_LEFT.labels(service).set(repeats_left)
+        metrics.set_by_label(metrics.REPEATS_LEFT, self._budgets.remaining_by_service())
         return metrics.exposition()
 
     def is_ready(self) -> bool:
@@ -508,8 +511,3 @@
                 await self._pause_guard.wait_until_refreshed()
                 return await self._relay_server.serve(value)
         return Done(True)
-
-
-def _refuse_sub_request(sub: Any, deliver: Any) -> Cancellable:
-    deliver(PeerFailure(False, "sub-requests go straight to instances"))
-    return FINISHED
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -11,15 +11,15 @@
 from loguru import logger
 
 from firtrestle.clocks import Clock, Millis
-from firtrestle.gossip_maps import ERA_BOUND_PREFIX, GossipMap, Item
+from firtrestle.gossip_maps import INSTANCE_PREFIX, GossipMap, Item
 from firtrestle.instances import EARLIER_ERA_REVISION, Instance, Instances
 from firtrestle.messages import Ping, Pong
 from firtrestle.registry_readers import ReaderRole, RegistryProgress, reported_revision
 from firtrestle.routes import RouteTable
 from firtrestle.settings import Settings
+from firtrestle.warm_up_items import WarmUpItems
 
 ROUTES_KEY = "routes"
-INSTANCE_PREFIX = ERA_BOUND_PREFIX
 MAX_ROUTES_BYTES = 16_000_000  # uncompressed; no operator writes a larger desired state
 ZLIB_LEVEL = 1  # the fastest; pays off, as desired states are repetitive and links slow
 
@@ -79,12 +79,14 @@
         progress: RegistryProgress,
         instances_part: str,
         apply: Callable[[RouteTable], None],
+        warm_ups: WarmUpItems,
     ) -> None:
         self._items = items
         self._instances = instances
         self._progress = progress
         self._instances_part = instances_part
         self._apply = apply
+        self._warm_ups = warm_ups
         self._parse: Callable[[str], RouteTable | ParseFailure] | None = None
         self._version = 0
         self._refused_version = 0
@@ -111,6 +113,7 @@
         An unchanged registration is published only in a complete read: it may have been removed and
         registered again, and its new revision must override the removal that other daemons saw.
         """
+        self._warm_ups.publish(instance, revision)
         key = INSTANCE_PREFIX + instance.id
         value = _to_row(instance)
         item = self._items.by_key.get(key)
@@ -189,6 +192,7 @@
     def _on_restored(self) -> None:
         """Let what is read from now on override all that was known by revision."""
         self._items.restamp(INSTANCE_PREFIX, EARLIER_ERA_REVISION)
+        self._warm_ups.begin_era()
         self._instances.begin_era()
 
     def _on_instance(self, key: str, item: Item) -> None:
@@ -225,6 +229,7 @@
         if table is not None and table.version > self._version:
             self._version = table.version
             self._apply(table)
+            self._warm_ups.apply(table)
 
 
 def _decompress(value: Any) -> str | None:
--- a/packages/firtrestle/firtrestle/routes.py
+++ b/packages/firtrestle/firtrestle/routes.py
@@ -74,11 +74,13 @@
     """Represent the operators' limits for one service.
 
     `connection_limit` bounds the connections of all daemons together to each instance; 0 means no
-    limit.
+    limit. `warm_up_rate` is the number of requests a second that one cold instance can bear; 0
+    means no bound.
     """
 
     name: str
     connection_limit: int
+    warm_up_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -11,7 +11,6 @@
 
 from firtrestle.answers import MIN_PART_BOUND, Answer, Parts, max_part_bytes, merge
 from firtrestle.attempts import Attempt, ShardState
-from firtrestle.backoffs import NO_PAUSE
 from firtrestle.clocks import Millis
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.gathers import Gather
@@ -37,8 +36,6 @@
 MAX_HEDGE_DELAY_SHARE = 0.5  # share of the latency target; later hedges reply too late
 MAX_RETURN_SPREAD = 1.5  # longest time to come back, as a ratio of the pause that it follows from
 ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
-# A shard given up for one of these was refused by all instances that could be asked.
-UNSENT_REASONS = frozenset({SubOutcome.NO_REPLICA, SubOutcome.SHED})
 MAX_CANARIES = 3  # shards sent one after the other while no instance has answered
 MIN_CLOSED_SHARDS_SHARE = 0.7  # below it, late replies point to a slow daemon, not slow replicas
 
@@ -416,7 +413,8 @@
 
     def _record_missing(self, shard: int, reason: SubOutcome) -> None:
         service = self._services[shard]
-        pause = self._tools.availability.pause(service) if reason in UNSENT_REASONS else NO_PAUSE
+        request_id = self._request.message.request_id
+        pause = self._tools.availability.unsent_pause(service, reason, request_id)
         if pause:
             self._pause_by_service[service] = pause
             reason = SubOutcome.SHED
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -21,6 +21,7 @@
 from firtrestle.replicas import Replicas
 from firtrestle.slow_reports import SlowReports
 from firtrestle.uplinks import Uplink
+from firtrestle.warm_ups import WarmUps
 
 
 @dataclass(slots=True)
@@ -39,6 +40,7 @@
     crashes: CrashRecords
     backoffs: Backoffs
     rate_limits: RateLimits
+    warm_ups: WarmUps
     slow_reports: SlowReports
     loop: LoopMonitor
     uplink: Uplink
@@ -57,4 +59,5 @@
             self.subsets,
             self.backoffs,
             self.rate_limits,
+            self.warm_ups,
         )
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -165,6 +165,17 @@
     )
     retry_ms: int = Field(400, ge=10, description="mean pause before a failed read is retried, ms")
     grace_ms: int = Field(6_000, ge=600, description="time from SIGTERM to SIGKILL, ms")
+    warm_up_overage: float | None = Field(
+        None,
+        ge=0,
+        description="allowed ratio of requests to the rate that a cold instance can bear, in any "
+        "second over all daemons; null for no bound",
+    )
+    warm_up_slack: float = Field(
+        0.0,
+        ge=0,
+        description="requests a second to a cold instance beyond that ratio, over all daemons",
+    )
 
 
 class ClaimSettings(_Section):
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -18,6 +18,7 @@
 from firtrestle.instance_pools import InstanceCall
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
+from firtrestle.known_daemons import KnownDaemons
 from firtrestle.outcomes import SubOutcome
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
@@ -34,6 +35,7 @@
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
 from firtrestle.uplinks import Uplink
+from firtrestle.warm_ups import WarmUpBounds, WarmUps
 from trio.testing import MockClock
 
 Behave = Callable[[Instance, int], tuple[float, InstanceReply]]
@@ -119,6 +121,17 @@
             call.finish(reply)
 
 
+def cold_instances(clock: Clock, instances: Instances) -> WarmUps:
+    """Return the warm-ups of a daemon that is alone, which has all permits after 2 s."""
+
+    def find_service(replica_id: ReplicaId) -> str | None:
+        instance = instances.get(replica_id)
+        return instance.service if instance is not None else None
+
+    daemons = KnownDaemons("d1", "dc", clock, expects_peers=False)
+    return WarmUps(clock, daemons, WarmUpBounds(1.5, 5.0), find_service)
+
+
 @dataclass
 class FakeLoop:
     """Replace the monitor of the event loop, which can't measure waits on simulated time."""
@@ -216,6 +229,7 @@
                 crashes=CrashRecords(GossipMap(), clock),
                 backoffs=backoffs,
                 rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
+                warm_ups=cold_instances(clock, instances),
                 slow_reports=SlowReports(clock, instances.count, lambda replica_id, until: None),
                 loop=FakeLoop(),
                 uplink=uplink,
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -17,9 +17,13 @@
 )
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance
+from firtrestle.known_daemons import KnownDaemons
 from firtrestle.outcomes import SubOutcome
 from firtrestle.receive_bounds import ReceiveMemory
+from firtrestle.routes import RouteTable, ServiceTerms
 from firtrestle.uplinks import Uplink
+from firtrestle.warm_ups import WarmUpBounds, WarmUps
+from manual_clocks import ManualClock
 
 FAR_DEADLINE = Millis(1_000_000_000)
 
@@ -44,11 +48,23 @@
         self.instance = Instance("i", "s", "127.0.0.1", port, "dc", 3, False, 1)
         clock = Clock()
         self.backoffs = Backoffs(clock, random.Random(1))
+        fleet_clock = ManualClock()
+        daemons = KnownDaemons("d1", "dc", fleet_clock, expects_peers=False)
+        fleet_clock.jump(2)
+        self.warm_ups = WarmUps(clock, daemons, WarmUpBounds(0.0, 1.0), lambda replica_id: "s")
+        self.warm_ups.apply(RouteTable(terms_by_service={"s": ServiceTerms("s", 0, 1.0)}))
         self.observed = []
         self.memory = ReceiveMemory(1_000_000)
         self.uplink = Uplink(clock, random.Random(1))
         tools = PoolTools(
-            Codec(), clock, nursery, self.backoffs, self.observe, self.memory, self.uplink
+            Codec(),
+            clock,
+            nursery,
+            self.backoffs,
+            self.warm_ups,
+            self.observe,
+            self.memory,
+            self.uplink,
         )
         self.pools = InstancePools(tools)
         self.replies = []
--- a/packages/firtrestle/tests/test_route_sources.py
+++ b/packages/firtrestle/tests/test_route_sources.py
@@ -12,8 +12,10 @@
 from firtrestle.registry_readers import RegistryProgress
 from firtrestle.route_sources import ParseFailure, SourcePublisher
 from firtrestle.routes import RouteTable
+from firtrestle.warm_up_items import WarmUpItems
 from hypothesis import given
 from hypothesis import strategies as st
+from route_fakes import cold_instances
 
 PART = "instances"
 
@@ -33,8 +35,10 @@
         self.instances = Instances(clock, lambda gone: None, departures)
         self.applied = []
         self.progress = RegistryProgress(clock, frozenset({PART}), self.eras)
+        warm_ups = cold_instances(clock, self.instances)
+        warm_up_items = WarmUpItems(self.items, warm_ups, clock)
         self.publisher = SourcePublisher(
-            self.items, self.instances, self.progress, PART, self.applied.append
+            self.items, self.instances, self.progress, PART, self.applied.append, warm_up_items
         )
         self.publisher.start(parse)
 
