--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -10,6 +10,7 @@
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
 from firtrestle.instance_pools import (
     CANCELLED_REPLY_TIMEOUT,
+    COLD,
     PAUSED,
     InstanceCall,
     InstancePools,
@@ -242,3 +243,18 @@
         assert fixture.pools.silent(Millis(0), Millis(0)) == [fixture.instance]
         assert fixture.pools.silent(Millis(0), Millis(5_000)) == []
         assert fixture.pools.silent(FAR_DEADLINE, Millis(0)) == []
+
+
+# Guards against calls that were granted, waited for a connection, and are written all at once.
+async def test_calls_that_waited_while_their_instance_became_cold_are_refused_unsent():
+    async with pool_fixture() as fixture:
+        fixture.gate = trio.Event()
+        for path in ("/running", "/first", "/second"):
+            fixture.start(path)
+            await trio.sleep(0.02)
+        fixture.warm_ups.record(fixture.instance.replica_id, Millis(60_000))
+        fixture.gate.set()
+        await fixture.wait_until(lambda: len(fixture.replies) == 3)
+        assert fixture.served == ["/running", "/first"]
+        assert COLD in fixture.replies
+        assert fixture.warm_ups.counts() == {"cold": 1, "sent": 1, "refused": 1}
