--- a/packages/firtrestle/firtrestle/gossip_maps.py
+++ b/packages/firtrestle/firtrestle/gossip_maps.py
@@ -22,7 +22,9 @@
 LARGE_VALUE_BYTES = 1_024  # text or bytes of this size are announced before being sent
 INSTANCE_PREFIX = "instance/"
 EVACUATION_PREFIX = "evacuation/"
-ERA_BOUND_PREFIXES = (INSTANCE_PREFIX, EVACUATION_PREFIX)  # stamped with a registry's revisions
+WARM_UP_PREFIX = "warm-up/"
+# Of items whose stamps are revisions of a registry.
+ERA_BOUND_PREFIXES = (INSTANCE_PREFIX, EVACUATION_PREFIX, WARM_UP_PREFIX)
 REQUEST_WAIT = Millis(500)  # how long an announced item is awaited before another peer is asked
 
 Validator = Callable[[str, int, Any], bool]
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -23,6 +23,7 @@
 )
 from firtrestle.routes import RouteTable
 from firtrestle.settings import Settings
+from firtrestle.warm_up_items import WarmUpItems
 
 ROUTES_KEY = "routes"
 MAX_ROUTES_BYTES = 16_000_000  # uncompressed; no operator writes a larger desired state
@@ -87,6 +88,7 @@
         instances_part: str,
         apply: Callable[[RouteTable], None],
         evacuations: EvacuationItems,
+        warm_ups: WarmUpItems,
     ) -> None:
         self.evacuations = evacuations
         self._items = items
@@ -94,6 +96,7 @@
         self._progress = progress
         self._instances_part = instances_part
         self._apply = apply
+        self._warm_ups = warm_ups
         self._parse: Callable[[str], RouteTable | ParseFailure] | None = None
         self._version = 0
         self._refused_version = 0
@@ -120,6 +123,7 @@
         An unchanged registration is published only in a complete read: it may have been removed and
         registered again, and its new revision must override the removal that other daemons saw.
         """
+        self._warm_ups.publish(instance, revision)
         key = INSTANCE_PREFIX + instance.id
         value = _to_row(instance)
         item = self._items.by_key.get(key)
@@ -200,6 +204,7 @@
     def _on_restored(self) -> None:
         """Let what is read from now on override all that was known by revision."""
         self._items.restamp(INSTANCE_PREFIX, EARLIER_ERA_REVISION)
+        self._warm_ups.begin_era()
         self._instances.begin_era()
 
     def _on_instance(self, key: str, item: Item) -> None:
@@ -236,6 +241,7 @@
         if table is not None and table.version > self._version:
             self._version = table.version
             self._apply(table)
+            self._warm_ups.apply(table)
 
 
 def _decompress(value: Any) -> str | None:
--- a/packages/firtrestle/tests/source_fakes.py
+++ b/packages/firtrestle/tests/source_fakes.py
@@ -13,6 +13,8 @@
 from firtrestle.registry_readers import RegistryProgress
 from firtrestle.route_sources import ParseFailure, SourcePublisher
 from firtrestle.routes import RouteTable
+from firtrestle.warm_up_items import WarmUpItems
+from route_fakes import cold_instances
 
 PART = "instances"
 EVACUATIONS_PART = "operators"
@@ -39,8 +41,15 @@
         evacuations = EvacuationItems(
             self.items, self.instances.evacuations, self.progress, EVACUATIONS_PART
         )
+        warm_up_items = WarmUpItems(self.items, cold_instances(clock, self.instances), clock)
         self.publisher = SourcePublisher(
-            self.items, self.instances, self.progress, PART, self.applied.append, evacuations
+            self.items,
+            self.instances,
+            self.progress,
+            PART,
+            self.applied.append,
+            evacuations,
+            warm_up_items,
         )
         self.publisher.start(parse)
         self.is_earlier_build = False  # it then reports progress as such a build does
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -18,10 +18,14 @@
 )
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance
+from firtrestle.known_daemons import KnownDaemons
 from firtrestle.outcomes import SubOutcome
 from firtrestle.receive_bounds import ReceiveMemory
-from firtrestle.unsent_replies import EVACUATED, PAUSED
+from firtrestle.routes import RouteTable, ServiceTerms
+from firtrestle.unsent_replies import COLD, EVACUATED, PAUSED
 from firtrestle.uplinks import Uplink
+from firtrestle.warm_ups import WarmUpBounds, WarmUps
+from manual_clocks import ManualClock
 
 FAR_DEADLINE = Millis(1_000_000_000)
 
@@ -47,6 +51,11 @@
         clock = Clock()
         self.backoffs = Backoffs(clock, random.Random(1))
         self.evacuated = set()
+        fleet_clock = ManualClock()
+        daemons = KnownDaemons("d1", "dc", fleet_clock, expects_peers=False)
+        fleet_clock.jump(2)
+        self.warm_ups = WarmUps(clock, daemons, WarmUpBounds(0.0, 1.0), lambda replica_id: "s")
+        self.warm_ups.apply(RouteTable(terms_by_service={"s": ServiceTerms("s", 0, 1.0)}))
         self.observed = []
         self.memory = ReceiveMemory(1_000_000)
         self.uplink = Uplink(clock, random.Random(1))
@@ -55,6 +64,7 @@
             clock,
             nursery,
             self.backoffs,
+            self.warm_ups,
             self.observe,
             self.memory,
             self.uplink,
@@ -330,3 +340,18 @@
         assert (reply.outcome, reply.may_have_run) == (SubOutcome.DIED, True)
         await fixture.wait_until(lambda: fixture.pools.open_connections == 0)
         nursery.cancel_scope.cancel()
+
+
+# Guards against calls that were granted, waited for a connection, and are written all at once.
+async def test_calls_that_waited_while_their_instance_became_cold_are_refused_unsent():
+    async with pool_fixture() as fixture:
+        fixture.gate = trio.Event()
+        for path in ("/running", "/first", "/second"):
+            fixture.start(path)
+            await trio.sleep(0.02)
+        fixture.warm_ups.record(fixture.instance.replica_id, Millis(60_000))
+        fixture.gate.set()
+        await fixture.wait_until(lambda: len(fixture.replies) == 3)
+        assert fixture.served == ["/running", "/first"]
+        assert COLD in fixture.replies
+        assert fixture.warm_ups.counts() == {"cold": 1, "sent": 1, "refused": 1}
