--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -53,13 +53,17 @@
         self._open_by_shard = {shard: ShardState(shard) for shard in shards}
         try:
             self._send_first()
-            while self._open_by_shard and not self._should_stop():
+            while self._is_open() and not self._should_stop():
                 if self._tools.clock.now() >= self._stop_at():
                     break
                 await self._step()
         finally:
             self._cancel_all()
 
+    def _is_open(self) -> bool:
+        """Return whether a reply is still awaited."""
+        return bool(self._open_by_shard)
+
     def _send_first(self) -> None:
         """Send the first attempt of each shard."""
         for shard in list(self._open_by_shard):
@@ -132,7 +136,7 @@
 
     def _handle_queued_replies(self) -> None:
         """Handle the replies already queued, without a pass of the gather loop for each."""
-        while self._open_by_shard and not self._should_stop():
+        while self._is_open() and not self._should_stop():
             try:
                 attempt, reply = self._reply_receiver.receive_nowait()
             except trio.WouldBlock:
