--- a/packages/firtrestle/firtrestle/part_relays.py
+++ b/packages/firtrestle/firtrestle/part_relays.py
@@ -119,20 +119,13 @@
         self, request: RoutedRequest, services: tuple[str, ...], estimate: Estimate
     ) -> Split | None:
         """Return the parts of a gather, None if it is not divided."""
-        now, route = self._clock.now(), request.route
-        work = Millis(estimate.value * len(services))
-        time_left = Millis(request.arrived_at + route.latency_target - now)
-        count = self._counts.count(route.name, work, route.latency_target, time_left)
-        if count == 1 or request.deadline - now - HOP_RESERVE < MIN_TIME_LEFT:
+        count = self.count_parts(request, services, estimate)
+        if count == 1:
             return None
-        peer_by_id = {
-            peer.id: peer for peer in self._list_peers() if peer.data_centre == self._data_centre
-        }
+        now, route = self._clock.now(), request.route
+        peer_by_id = {peer.id: peer for peer in self._local_peers()}
         self._standings.retain_only(list(peer_by_id))
-        count = min(count, len(peer_by_id) + 1, len(services) // MIN_PART_SHARDS)
-        if len(peer_by_id) < MIN_PEERS or count < 2:
-            return None
-        split = Split([], estimate, time_left)
+        split = Split([], estimate, _time_left(request, now))
         own_part = part_of(self._own_id, count)
         for part, shards in enumerate(shards_by_part(services, count)):
             chosen = None
@@ -148,6 +141,24 @@
             split.parts.append(PeerPart(peer_by_id.pop(chosen), shards, terms, now, age))
         return split if split.parts else None
 
+    def count_parts(
+        self, request: RoutedRequest, services: tuple[str, ...], estimate: Estimate
+    ) -> int:
+        """Return the number of parts that a gather is to be divided into."""
+        now, route = self._clock.now(), request.route
+        work = Millis(estimate.value * len(services))
+        left = _time_left(request, now)
+        count = self._counts.count(route.name, work, route.latency_target, left)
+        if count == 1 or request.deadline - now - HOP_RESERVE < MIN_TIME_LEFT:
+            return 1
+        peers = len(self._local_peers())
+        if peers < MIN_PEERS:
+            return 1
+        return max(1, min(count, peers + 1, len(services) // MIN_PART_SHARDS))
+
+    def _local_peers(self) -> list[Member]:
+        return [peer for peer in self._list_peers() if peer.data_centre == self._data_centre]
+
     async def ask(self, part: PeerPart, request: RoutedRequest) -> RelayResult | PartRefusal:
         """Let a part's peer run it; a peer that may have got it is never replaced by another."""
         now, peer = self._clock.now(), part.peer
@@ -194,6 +205,11 @@
             self._standings.set_aside(part.peer.id)
 
 
+def _time_left(request: RoutedRequest, now: Millis) -> Millis:
+    """Return the time left to a request's latency target."""
+    return Millis(request.arrived_at + request.route.latency_target - now)
+
+
 def _refusal_in(answer: Any) -> str:
     """Return why a peer has sent nothing to an instance, empty if it may have."""
     if isinstance(answer, PeerFailure) and not answer.sent:
--- a/packages/firtrestle/firtrestle/split_gathers.py
+++ b/packages/firtrestle/firtrestle/split_gathers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import Any
 
 import trio
 from loguru import logger
 
-from firtrestle.attempts import ShardState
 from firtrestle.clocks import Millis
 from firtrestle.outcomes import SubOutcome
 from firtrestle.part_relays import PartRefusal, PeerPart, Split
@@ -17,12 +17,35 @@
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.service_gathers import MAX_HEDGE_DELAY_SHARE, MIN_CLOSED_SHARDS_SHARE
 from firtrestle.service_tools import ServiceTools
+from firtrestle.work_estimates import Estimate
 
 # The first pass queues the messages to the peers, the second writes them: peers start to work
 # before this daemon spends its processor time on its own shards.
 PASSES_TO_WRITE = 2
 
 
+def expected_shards(tools: ServiceTools, request: RoutedRequest, services: tuple[str, ...]) -> int:
+    """Return how many shards of a request this daemon is expected to run itself."""
+    estimate = _estimate_if_divisible(tools, request, services)
+    if estimate is None:
+        return len(services)
+    return math.ceil(len(services) / tools.splits.count_parts(request, services, estimate))
+
+
+def _estimate_if_divisible(
+    tools: ServiceTools, request: RoutedRequest, services: tuple[str, ...]
+) -> Estimate | None:
+    """Return the estimate by which a request may be divided, None if it must not be."""
+    may_divide = (
+        tools.splits.is_enabled
+        and len(services) > 1
+        and request.route.repeatable
+        and tools.uplink.is_settled
+        and not tools.uplink.is_in_doubt
+    )
+    return tools.work.processor_estimate() if may_divide else None
+
+
 class SplitGather(RelayingGather):
     """Run some shards of a gather here and let peers run the others, if it takes long here.
 
@@ -54,19 +77,10 @@
 
     def _divide(self) -> Split | None:
         """Return the parts of the gather, None if it runs here as a whole."""
-        splits, uplink = self._tools.splits, self._tools.uplink
-        may_divide = (
-            splits.is_enabled
-            and len(self._services) > 1
-            and self._route.repeatable
-            and not self._is_suspect
-            and uplink.is_settled
-            and not uplink.is_in_doubt
-        )
-        estimate = self._tools.work.processor_estimate() if may_divide else None
-        if estimate is None:
+        estimate = _estimate_if_divisible(self._tools, self._request, self._services)
+        if estimate is None or self._is_suspect:
             return None
-        split = splits.divide(self._request, self._services, estimate)
+        split = self._tools.splits.divide(self._request, self._services, estimate)
         return split if split is not None and self._may_cover() else None
 
     def _may_cover(self) -> bool:
@@ -95,6 +109,7 @@
             await super()._gather(shards)
             return
         self._open_parts = set(self._split.parts)
+        self.attempt_summary.sent += len(self._open_parts)  # each may run, until it is answered
         async with trio.open_nursery() as nursery:
             for part in self._split.parts:
                 nursery.start_soon(self._run_part, part)
@@ -120,6 +135,7 @@
                 self._closed_here_at = self._tools.clock.now()
             return
         self._open_parts.discard(attempt)
+        self.attempt_summary.sent -= 1
         if isinstance(reply, PartRefusal):
             self._run_here(attempt, is_credited=False)
             return
@@ -145,8 +161,7 @@
         if not is_credited:
             self._credit(part.shards)
         self._shards_here += part.shards
-        for shard in part.shards:
-            self._open_by_shard[shard] = ShardState(shard)
+        self._open(part.shards)
         for shard in part.shards:
             self._send_or_give_up(shard)
 
@@ -154,7 +169,6 @@
         """Record a part without an answer as missing; its peer may have run it."""
         self._tools.splits.record_cut_off(part, self._request)
         self._close_to_peers(part)
-        self.attempt_summary.sent += 1
         for service in part.terms.services:
             self.attempt_summary.reason_by_service[service] = SubOutcome.DEADLINE
 
