--- a/packages/firtrestle/firtrestle/repeat_budgets.py
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -139,6 +139,13 @@
         self._budget_by_service: dict[str, RepeatBudget] = {}
         self.fleet_size = 0  # daemons that may be up; 0 while unknown
 
+    @classmethod
+    def from_config(cls, routes: RouteSettings, clock: Clock) -> RepeatBudgets:
+        """Build the budgets of a daemon that starts now."""
+        window = Millis(routes.repeat_window_ms)
+        terms = RepeatTerms(routes.repeat_ratio, routes.repeat_slack, window)
+        return cls(terms, clock, clock.now())
+
     def for_service(self, service: str) -> RepeatBudget:
         """Return a service's budget, created if there is none."""
         budget = self._budget_by_service.get(service)
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -13,6 +13,7 @@
 from firtrestle.instance_pools import InstancePools
 from firtrestle.instances import Instances
 from firtrestle.loop_monitors import LoopMonitor
+from firtrestle.part_relays import PartRelays
 from firtrestle.rate_limits import RateLimits
 from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets
@@ -22,6 +23,7 @@
 from firtrestle.slow_reports import SlowReports
 from firtrestle.uplinks import Uplink
 from firtrestle.warm_ups import WarmUps
+from firtrestle.work_estimates import WorkEstimates
 
 
 @dataclass(slots=True)
@@ -45,12 +47,15 @@
     loop: LoopMonitor
     uplink: Uplink
     relays: Relays
+    splits: PartRelays
     data_centre: str
     reply_memory_bytes: int
     availability: Availability = field(init=False)
+    work: WorkEstimates = field(init=False)
 
     def __post_init__(self) -> None:
-        """Join what the components know of single instances."""
+        """Join what the components know of single instances, and estimate this daemon's work."""
+        self.work = WorkEstimates(self.clock, self.loop)
         self.availability = Availability(
             self.clock,
             self.data_centre,
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -176,6 +176,11 @@
         ge=0,
         description="requests a second to a cold instance beyond that ratio, over all daemons",
     )
+    split_gathers: bool = Field(
+        True,
+        description="let peers run parts of gathers that take this daemon a large share of their "
+        "latency target",
+    )
 
 
 class ClaimSettings(_Section):
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -20,10 +20,10 @@
 from firtrestle.instances import Instance, Instances
 from firtrestle.known_daemons import KnownDaemons
 from firtrestle.outcomes import SubOutcome
+from firtrestle.part_relays import PartRelays
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
 from firtrestle.rate_limits import RateLimits
-from firtrestle.relaying_gathers import RelayingGather
 from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
@@ -34,6 +34,7 @@
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from firtrestle.split_gathers import SplitGather
 from firtrestle.uplinks import Uplink
 from firtrestle.warm_ups import WarmUpBounds, WarmUps
 from trio.testing import MockClock
@@ -138,6 +139,11 @@
     """Replace the monitor of the event loop, which can't measure waits on simulated time."""
 
     was_idle: bool = True
+    suspensions: int = 0
+    busy: Millis = Millis(0)
+
+    def busy_time(self) -> Millis:
+        return self.busy
 
 
 @dataclass
@@ -156,7 +162,7 @@
         message = CallerMessage(f"r{self.numbers}", "GET", target, "h", (), b"")
         request = RoutedRequest(message, route, self.table, now, Millis(now + time_left))
         chosen = services or route.pick_services(self.tools.rng)
-        gather = RelayingGather(self.tools, request, chosen)
+        gather = SplitGather(self.tools, request, chosen)
         return await gather.run(), gather
 
 
@@ -235,6 +241,7 @@
                 loop=FakeLoop(),
                 uplink=uplink,
                 relays=Relays("d1", clock, rng, list, call_no_peer),
+                splits=PartRelays("d1", "dc", clock, rng, list, call_no_peer),
                 data_centre="dc",
                 reply_memory_bytes=20_000_000,
             )
