Divide gathers that take this daemon long over peers of its data centre

Cause: a gather of 36 to 90 shards takes a half-core daemon 32 to 90 ms of processor time, for a latency target of 90 to 97 ms, while its peers are idle. Change: SplitGather lets peers run parts of a gather whose work exceeds a quarter of the latency target. gather_splits decides on the number of parts, their shards and their peers; part_relays asks the peers over Relay, whose new field `others` lets a peer (PartialGather) judge coverage over the whole. A refused or unreached part joins the shards run here; a part that a peer may have got is never sent again and counts as one that may have run until it is answered. Gathers count the work done here (`work_done`), and `expected_shards` says beforehand how much that will be, both for admission. Answers of peers with fields of other types no longer end a request by an exception, and replies that "did not run" are not asked for again. Setting routes.split_gathers, three counters, the log line "gather divided".

--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -29,6 +29,7 @@
 from firtrestle.instance_pools import InstancePools, PoolTools
 from firtrestle.instances import Instance, Instances
 from firtrestle.loop_monitors import LoopMonitor
+from firtrestle.part_relays import PartRelays
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
 from firtrestle.rate_limits import RateLimits
@@ -133,6 +134,7 @@
         loop=loop,
         uplink=uplink,
         relays=Relays("d1", clock, rng, list, _call_no_peer),
+        splits=PartRelays("d1", "dc", clock, rng, list, _call_no_peer),
         data_centre="dc",
         reply_memory_bytes=memory.limit_bytes,
     )
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -47,19 +47,37 @@
         self._reply_sender, self._reply_receiver = trio.open_memory_channel(math.inf)
         self._resend_at_by_shard: dict[int, Millis] = {}
         self._oldest_sent_at = Millis(math.inf)  # no later than the last attempt of any open shard
+        self._opened = 0  # shards, over time
+        self._sends = 0
 
     async def _gather(self, shards: Sequence[int]) -> None:
         """Query the shards until each has replied or is given up, or until it is time to stop."""
-        self._open_by_shard = {shard: ShardState(shard) for shard in shards}
+        self._open_by_shard = {}
+        self._open(shards)
         try:
             self._send_first()
-            while self._open_by_shard and not self._should_stop():
+            while self._is_open() and not self._should_stop():
                 if self._tools.clock.now() >= self._stop_at():
                     break
                 await self._step()
         finally:
             self._cancel_all()
 
+    @property
+    def work_done(self) -> float:
+        """Return the sub-requests worked on here; sending and closing are half of one each."""
+        return (self._sends + self._opened - len(self._open_by_shard)) / 2
+
+    def _open(self, shards: Sequence[int]) -> None:
+        """Add shards to those whose replies are awaited."""
+        self._opened += len(shards)
+        for shard in shards:
+            self._open_by_shard[shard] = ShardState(shard)
+
+    def _is_open(self) -> bool:
+        """Return whether a reply is still awaited."""
+        return bool(self._open_by_shard)
+
     def _send_first(self) -> None:
         """Send the first attempt of each shard."""
         for shard in list(self._open_by_shard):
@@ -132,7 +150,7 @@
 
     def _handle_queued_replies(self) -> None:
         """Handle the replies already queued, without a pass of the gather loop for each."""
-        while self._open_by_shard and not self._should_stop():
+        while self._is_open() and not self._should_stop():
             try:
                 attempt, reply = self._reply_receiver.receive_nowait()
             except trio.WouldBlock:
@@ -164,6 +182,7 @@
         )
         if replica is None:
             return False
+        self._sends += 1
         state.tries += 1
         state.tried_ids.add(replica.id)
         attempt = Attempt(self._next_attempt_number(), shard, replica, self._tools.clock.now())
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -261,6 +261,7 @@
 
     `tried` counts, by service, attempts that may have reached an instance. `merge` is empty if one
     service's reply is wanted unchanged, else the number and the size of the records to keep.
+    `others` is the number of the gather's services that other daemons run at the same time.
     """
 
     request_id: str
@@ -280,6 +281,7 @@
     merge: list[int] = field(default_factory=list)
     tried: dict[str, int] = field(default_factory=dict)
     is_counted: bool = False
+    others: int = 0
 
 
 @message("relayed")
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -1,7 +1,16 @@
 """Define the daemon's Prometheus metrics."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+if TYPE_CHECKING:
+    from firtrestle.part_relays import PartRelays
+    from firtrestle.relay_servers import RelayServer
+    from firtrestle.relays import Relays
+
 REGISTRY = CollectorRegistry()
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.065, 0.13, 0.25, 0.5, 1.0, 2.5)
 
@@ -88,6 +97,21 @@
     "Requests of peers that were refused, since the start",
     registry=REGISTRY,
 )
+DIVIDED = Gauge(
+    "firtrestle_gathers_divided",
+    "Gathers of which peers ran parts, since the start",
+    registry=REGISTRY,
+)
+PARTS_REFUSED = Gauge(
+    "firtrestle_parts_refused",
+    "Parts of gathers that a peer refused, or whose peer was not reached, since the start",
+    registry=REGISTRY,
+)
+PARTS_LOST = Gauge(
+    "firtrestle_parts_lost",
+    "Parts of gathers that a peer got and didn't answer, or not in time, since the start",
+    registry=REGISTRY,
+)
 UNHEARD = Gauge(
     "firtrestle_instances_unheard_seconds",
     "Time since the last reply of any instance",
@@ -142,6 +166,17 @@
 )
 
 
+def record_relays(relays: Relays, server: RelayServer, splits: PartRelays) -> None:
+    """Set the counters of requests that one daemon runs for another."""
+    RELAYED.set(relays.relayed)
+    NOT_RELAYED.set(relays.not_relayed)
+    RELAYS_SERVED.set(server.served)
+    RELAYS_REFUSED.set(server.refused)
+    DIVIDED.set(splits.divided)
+    PARTS_REFUSED.set(splits.refused)
+    PARTS_LOST.set(splits.lost)
+
+
 def exposition() -> bytes:
     """Return all metrics in the Prometheus text format."""
     return generate_latest(REGISTRY)
--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -25,13 +25,15 @@
     """Say which part of a request is relayed, and what has been done for it before.
 
     `tried_by_service` counts attempts that may have reached an instance. With `is_counted`, the
-    services' repeat budgets have been credited with the request already.
+    services' repeat budgets have been credited with the request already. `others` is the number of
+    the gather's services that other daemons run at the same time.
     """
 
     services: tuple[str, ...]
     least_coverage: float = 1.0
     tried_by_service: dict[str, int] = field(default_factory=dict)
     is_counted: bool = False
+    others: int = 0
 
 
 @dataclass(slots=True)
@@ -45,8 +47,15 @@
     @property
     def is_unreached(self) -> bool:
         """Return whether the peer reached no instance either, so that another may be asked."""
+        if self.reply_by_service or self.summary.may_have_run:
+            return False
+        return UNREACHED_REASONS.issuperset(self.summary.reason_by_service.values())
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the peer gave no readable answer, so that it may have run the request."""
         reasons = self.summary.reason_by_service.values()
-        return not self.summary.may_have_run and UNREACHED_REASONS.issuperset(reasons)
+        return SubOutcome.HOLDER_LOST in reasons and not self.reply_by_service
 
 
 def encode_relay(request: RoutedRequest, terms: RelayTerms, age: Millis, left: Millis) -> Relay:
@@ -70,6 +79,7 @@
         services=list(terms.services),
         tried=terms.tried_by_service,
         is_counted=terms.is_counted,
+        others=terms.others,
     )
 
 
@@ -102,7 +112,7 @@
     )
     arrived_at = Millis(now - relay.age_ms - HOP_RESERVE)
     request = RoutedRequest(message, route, table, arrived_at, Millis(now + relay.left_ms))
-    terms = RelayTerms(services, relay.least_coverage, relay.tried, relay.is_counted)
+    terms = RelayTerms(services, relay.least_coverage, relay.tried, relay.is_counted, relay.others)
     return request, terms
 
 
@@ -186,7 +196,7 @@
         "route": isinstance(relay.route, str) and _is_positive(relay.max_attempts),
         "merge": is_merge,
         "times": all(_is_number(n) for n in (relay.target_ms, relay.age_ms, relay.left_ms)),
-        "coverage": _is_number(relay.least_coverage),
+        "coverage": _is_number(relay.least_coverage) and _is_count(relay.others),
         "services": isinstance(relay.services, list)
         and bool(relay.services)
         and _are_texts(*relay.services)
@@ -198,12 +208,17 @@
 
 
 def _is_result(relayed: Relayed, terms: RelayTerms) -> bool:
+    if not (isinstance(relayed.replies, list) and isinstance(relayed.failure, list)):
+        return False
     rows = [*relayed.replies, ["", *relayed.failure]] if relayed.failure else relayed.replies
     return (
-        all(len(row) == 5 and _is_reply(row[1:]) for row in rows)
+        all(isinstance(row, list) and len(row) == 5 and _is_reply(row[1:]) for row in rows)
         and all(row[0] in terms.services for row in relayed.replies)
-        and all(reason in OUTCOMES for reason in relayed.reasons.values())
-        and isinstance(relayed.sent, int)
+        and isinstance(relayed.reasons, dict)
+        and _are_texts(*relayed.reasons.values())
+        and OUTCOMES.issuperset(relayed.reasons.values())
+        and _is_count(relayed.sent)
+        and _is_count(relayed.hedges)
         and isinstance(relayed.may_have_run, bool)
     )
 
@@ -232,5 +247,9 @@
     return isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
 
 
+def _is_count(value: Any) -> bool:
+    return isinstance(value, int) and _is_number(value)
+
+
 def _is_positive(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool) and value > 0
--- a/packages/firtrestle/firtrestle/relay_servers.py
+++ b/packages/firtrestle/firtrestle/relay_servers.py
@@ -1,4 +1,4 @@
-"""Run requests of peers that have lost their links to the instances."""
+"""Run requests of peers that have lost their links to the instances, and parts of gathers."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.messages import Relay, Relayed
+from firtrestle.partial_gathers import PartialGather
 from firtrestle.relay_messages import RelayTerms, decode_relay, encode_result
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
-from firtrestle.service_gathers import ServiceGather
 from firtrestle.service_tools import ServiceTools
 
 MAX_RUNNING = 64  # requests of peers at the same time
@@ -67,7 +67,7 @@
             self._state.running -= 1
 
     async def _run(self, request: RoutedRequest, terms: RelayTerms, started_at: Millis) -> Relayed:
-        gather = ServiceGather(self._tools, request, terms.services, terms, MAX_REPLY_BYTES)
+        gather = PartialGather(self._tools, request, terms, MAX_REPLY_BYTES)
         await gather.collect()
         relayed = encode_result(
             request.route.merge, gather.reply_by_service, gather.attempt_summary
--- a/packages/firtrestle/firtrestle/repeat_budgets.py
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from firtrestle.clocks import Clock, Millis
+from firtrestle.settings import RouteSettings
 
 SAFETY_FACTOR = 0.9  # leaves a margin, as repeats arrive later than they are counted
 MAX_HEDGE_SHARE = 0.7  # share of a window's allowance; the rest is kept for retries
@@ -132,6 +133,13 @@
         self._budget_by_service: dict[str, RepeatBudget] = {}
         self.fleet_size = 0  # daemons that may be up; 0 while unknown
 
+    @classmethod
+    def from_config(cls, routes: RouteSettings, clock: Clock) -> RepeatBudgets:
+        """Build the budgets of a daemon that starts now."""
+        window = Millis(routes.repeat_window_ms)
+        terms = RepeatTerms(routes.repeat_ratio, routes.repeat_slack, window)
+        return cls(terms, clock, clock.now())
+
     def for_service(self, service: str) -> RepeatBudget:
         """Return a service's budget, created if there is none."""
         budget = self._budget_by_service.get(service)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -29,6 +29,7 @@
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.members import Members
 from firtrestle.messages import Done, Ping, PingFor, Pull, Relay
+from firtrestle.part_relays import PartRelays
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_servers import PeerServer
 from firtrestle.peers import FINISHED, Cancellable, PeerAddress, PeerClients, PeerFailure
@@ -38,7 +39,7 @@
 from firtrestle.relay_servers import RelayServer
 from firtrestle.relays import Relays
 from firtrestle.rendezvous import rank
-from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
+from firtrestle.repeat_budgets import RepeatBudgets
 from firtrestle.replica_subsets import FleetSize, ReplicaSubsets
 from firtrestle.replicas import Replicas
 from firtrestle.route_fronts import RouteFront, RouteState
@@ -145,7 +146,7 @@
         self._uplink_monitor = UplinkMonitor(
             self._uplink, self._fault_probes, self._pools.silent, clock, rng
         )
-        self._budgets = self._build_budgets()
+        self._budgets = RepeatBudgets.from_config(settings.routes, clock)
         self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
@@ -163,6 +164,8 @@
             self._uplink_reports.reaching_peers,
             self._members.call_within,
         )
+        reaching_peers, call_peer = self._uplink_reports.reaching_peers, self._members.call_within
+        self._splits = PartRelays.from_config(settings, clock, rng, reaching_peers, call_peer)
         tools = ServiceTools(
             clock=clock,
             rng=rng,
@@ -180,6 +183,7 @@
             loop=self._loop,
             uplink=self._uplink,
             relays=self._relays,
+            splits=self._splits,
             data_centre=settings.daemon.data_centre,
             reply_memory_bytes=reply_memory.limit_bytes,
         )
@@ -206,13 +210,6 @@
         )
         self._operator_http = HttpServer(self._handle_operator, HttpBounds(), front.max_connections)
 
-    def _build_budgets(self) -> RepeatBudgets:
-        routes = self.settings.routes
-        terms = RepeatTerms(
-            routes.repeat_ratio, routes.repeat_slack, Millis(routes.repeat_window_ms)
-        )
-        return RepeatBudgets(terms, self.clock, self.clock.now())
-
     async def run(self) -> None:
         """Serve until stopped; raise OSError if a port cannot be bound."""
         daemon = self.settings.daemon
@@ -407,10 +404,7 @@
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
         metrics.OPENING_LOST.set(not self._uplink.opens)
-        metrics.RELAYED.set(self._relays.relayed)
-        metrics.NOT_RELAYED.set(self._relays.not_relayed)
-        metrics.RELAYS_SERVED.set(self._relay_server.served)
-        metrics.RELAYS_REFUSED.set(self._relay_server.refused)
+        metrics.record_relays(self._relays, self._relay_server, self._splits)
         metrics.UNHEARD.set(self._uplink.unheard_for() / MILLIS_PER_SECOND)
         metrics.LEAVING.set(self._departures.count())
         metrics.HELD_BACK.set(self._backoffs.count())
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -17,11 +17,11 @@
 from firtrestle.http_servers import HttpRequest, HttpResponse
 from firtrestle.instance_replies import CallerMessage
 from firtrestle.registry_readers import RegistryProgress
-from firtrestle.relaying_gathers import RelayingGather
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
 from firtrestle.service_gathers import ServiceGather
 from firtrestle.service_tools import ServiceTools
+from firtrestle.split_gathers import SplitGather
 
 RESPONSE_RESERVE = Millis(10)  # kept back from the caller's deadline to transmit the response
 KINDS_WORTH_RETRYING = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
@@ -150,7 +150,7 @@
         quarantined = self._quarantine_refusal(routed)
         if quarantined is not None:
             return self._refuse(request_id, route.name, arrived_at, quarantined)
-        gather = RelayingGather(self._tools, routed, services)
+        gather = SplitGather(self._tools, routed, services)
         result = await gather.run()
         if isinstance(result, Refused):
             return self._refuse(request_id, route.name, arrived_at, result, gather)
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -13,6 +13,7 @@
 from firtrestle.instance_pools import InstancePools
 from firtrestle.instances import Instances
 from firtrestle.loop_monitors import LoopMonitor
+from firtrestle.part_relays import PartRelays
 from firtrestle.rate_limits import RateLimits
 from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets
@@ -44,6 +45,7 @@
     loop: LoopMonitor
     uplink: Uplink
     relays: Relays
+    splits: PartRelays
     data_centre: str
     reply_memory_bytes: int
     availability: Availability = field(init=False)
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -165,6 +165,11 @@
     )
     retry_ms: int = Field(400, ge=10, description="mean pause before a failed read is retried, ms")
     grace_ms: int = Field(6_000, ge=600, description="time from SIGTERM to SIGKILL, ms")
+    split_gathers: bool = Field(
+        True,
+        description="let peers run parts of gathers that take this daemon a large share of their "
+        "latency target",
+    )
 
 
 class ClaimSettings(_Section):
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -19,10 +19,10 @@
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
 from firtrestle.outcomes import SubOutcome
+from firtrestle.part_relays import PartRelays
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
 from firtrestle.rate_limits import RateLimits
-from firtrestle.relaying_gathers import RelayingGather
 from firtrestle.relays import Relays
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
@@ -33,6 +33,7 @@
 from firtrestle.settings import TargetSettings
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from firtrestle.split_gathers import SplitGather
 from firtrestle.uplinks import Uplink
 from trio.testing import MockClock
 
@@ -147,7 +148,7 @@
         message = CallerMessage(f"r{self.numbers}", "GET", target, "h", (), b"")
         request = RoutedRequest(message, route, self.table, now, Millis(now + time_left))
         chosen = services or route.pick_services(self.tools.rng)
-        gather = RelayingGather(self.tools, request, chosen)
+        gather = SplitGather(self.tools, request, chosen)
         return await gather.run(), gather
 
 
@@ -225,6 +226,7 @@
                 loop=FakeLoop(),
                 uplink=uplink,
                 relays=Relays("d1", clock, rng, list, call_no_peer),
+                splits=PartRelays("d1", "dc", clock, rng, list, call_no_peer),
                 data_centre="dc",
                 reply_memory_bytes=20_000_000,
             )
