--- a/packages/firtrestle/firtrestle/repeat_budgets.py
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -142,9 +142,7 @@
     @classmethod
     def from_config(cls, routes: RouteSettings, clock: Clock) -> RepeatBudgets:
         """Build the budgets of a daemon that starts now."""
-        window = Millis(routes.repeat_window_ms)
-        terms = RepeatTerms(routes.repeat_ratio, routes.repeat_slack, window)
-        return cls(terms, clock, clock.now())
+        return cls(RepeatTerms.from_config(routes), clock, clock.now())
 
     def for_service(self, service: str) -> RepeatBudget:
         """Return a service's budget, created if there is none."""
