Estimate the processor time of a sub-request and the instances' reply time

Cause: no decision knows what a request costs this daemon, so none can tell a request that fits into its deadline from one that does not. Change: WorkEstimates learns both quantities from the event loop's busy time while requests run, with age and spread. The loop monitor counts suspensions, which drop all samples. ServiceTools holds the estimates as `work`. The fake loops of the route tests know suspensions and busy time.

--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -21,6 +21,7 @@
 from firtrestle.replicas import Replicas
 from firtrestle.slow_reports import SlowReports
 from firtrestle.uplinks import Uplink
+from firtrestle.work_estimates import WorkEstimates
 
 
 @dataclass(slots=True)
@@ -46,9 +47,11 @@
     data_centre: str
     reply_memory_bytes: int
     availability: Availability = field(init=False)
+    work: WorkEstimates = field(init=False)
 
     def __post_init__(self) -> None:
-        """Join what the components know of single instances."""
+        """Join what the components know of single instances, and estimate this daemon's work."""
+        self.work = WorkEstimates(self.clock, self.loop)
         self.availability = Availability(
             self.clock,
             self.data_centre,
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -124,6 +124,11 @@
     """Replace the monitor of the event loop, which can't measure waits on simulated time."""
 
     was_idle: bool = True
+    suspensions: int = 0
+    busy: Millis = Millis(0)
+
+    def busy_time(self) -> Millis:
+        return self.busy
 
 
 @dataclass
--- a/packages/firtrestle/tests/test_loop_monitors.py
+++ b/packages/firtrestle/tests/test_loop_monitors.py
@@ -31,3 +31,17 @@
         monitor.after_io_wait(timeout)
         assert monitor.was_idle is was_idle
     assert monitor.busy_time() == 20
+
+
+# Guards against the time of a stopped process being taken for the cost of its requests.
+def test_a_process_that_stands_still_in_a_wait_or_between_waits_is_counted_as_suspended():
+    clock = ManualClock(1_000.0)
+    monitor = LoopMonitor(clock)
+    for waited, worked, suspensions in ((60, 900, 0), (5_000, 0, 1), (20, 5_000, 2)):
+        monitor.before_io_wait(0.05)
+        clock.at += waited
+        monitor.after_io_wait(0.05)
+        clock.at += worked
+        monitor.before_io_wait(0.05)
+        assert monitor.suspensions == suspensions
+        monitor.after_io_wait(0.05)
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -61,6 +61,7 @@
 
 class IdleLoop:
     was_idle = True
+    suspensions = 0
 
     def __init__(self, clock):
         self.clock = clock
