Order requests that wait for the processor, and refuse those that can't be answered

Cause: no decision reads a route's priority, and excess requests are late or fail after their time. AdmissionGate holds requests of callers and peers back while the processor is short. The target pools' queue uses the same order. Relays carry the route's priority; earlier builds ignore it.

--- /dev/null
+++ b/packages/firtrestle/firtrestle/admission_gates.py
@@ -0,0 +1,394 @@
+"""Hold requests back while this daemon's processor has more work than it can do."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+from typing import Any, Protocol, TypeVar
+
+import trio
+from loguru import logger
+
+from firtrestle import signals
+from firtrestle.admissions import Demand, StartShares, backlog_ahead, plan, retry_after
+from firtrestle.clocks import Clock, Millis, move_on_after
+from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.instance_replies import InstanceReply
+from firtrestle.loop_monitors import MIN_WAIT, LoopMonitor
+from firtrestle.routed_requests import AttemptSummary, RoutedRequest
+from firtrestle.routes import RouteTable
+from firtrestle.work_estimates import Estimate, WorkEstimates
+
+REVIEW_INTERVAL = Millis(10)  # a share of the shortest latency targets, 90 ms
+# Of the shortest latency target: work of running requests up to which the next one starts. The
+# processor then has work while instances reply, and an urgent arrival finds little ahead of it.
+MAX_BACKLOG_SHARE = 0.25
+MAX_WAITING = 128  # bounds the time of one decision, which grows with the number of requests
+# Part of a sub-request's least known cost that the reading of its reply takes in any case.
+CERTAIN_READ_SHARE = 0.25
+LOW_QUANTILE = 4  # the lower quarter of replies have hardly waited for this daemon to read them
+ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
+STOPPING_RETRY_AFTER = Millis(50)  # another daemon serves the request at once
+
+T = TypeVar("T")
+
+
+class RunningGather(Protocol):
+    """Define what the gate reads of a gather that it has started."""
+
+    attempt_summary: AttemptSummary
+    latencies: list[Millis]
+
+    @property
+    def open_shards(self) -> int:
+        """Return how many shards have neither a reply nor been given up."""
+
+    @property
+    def queued_replies(self) -> int:
+        """Return how many replies have been read, but not handled."""
+
+    @property
+    def reply_by_service(self) -> dict[str, InstanceReply]:
+        """Return the replies collected so far."""
+
+
+class State(Enum):
+    """Define the states of a request at the gate."""
+
+    NEW = auto()
+    WAITING = auto()
+    STARTED = auto()
+    OVER = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class _Costs:
+    """Hold the estimates that one decision uses."""
+
+    now: Millis
+    attempt: Estimate
+    backlog: Millis
+
+
+class Admission:
+    """Track one request from its arrival at the gate to its end."""
+
+    def __init__(
+        self, gate: AdmissionGate, number: int, request: RoutedRequest, shards: int
+    ) -> None:
+        self.number = number
+        self.request = request
+        self.shards = shards
+        self.state = State.NEW
+        self.refused: Refused | None = None
+        self.entered_at = gate.clock.now()
+        self.event = trio.Event()  # set when the state changes, or the gate is to be reviewed
+        self.gather: RunningGather | None = None
+        self.scope: trio.CancelScope | None = None
+        self.counted = 0.0  # sub-requests that the estimates know of
+        self.idle_at_start = Millis(0)  # idle time of the loop
+        self._gate = gate
+
+    def __enter__(self) -> Admission:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._gate.leave(self)
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the request's route."""
+        return self.request.route.priority
+
+    async def wait(self) -> Refused | None:
+        """Return once the request may start, or why it may not; don't wait if it may at once."""
+        self._gate.enter(self)
+        while self.state is State.WAITING:
+            interval = REVIEW_INTERVAL if self._gate.is_first(self) else math.inf
+            with move_on_after(Millis(interval)):
+                await self.event.wait()
+            if self.state is State.WAITING:
+                self.event = trio.Event()
+                self._gate.review()
+        return self.refused
+
+    async def run(
+        self, gather: RunningGather, body: Callable[[], Awaitable[T]], may_end: bool = True
+    ) -> T | Refused:
+        """Run a gather; with `may_end`, end it early once it is certain to miss its deadline."""
+        self.gather = gather
+        if not may_end:
+            return await body()
+        with trio.CancelScope() as self.scope:
+            return await body()
+        ran = Ran.UNKNOWN if gather.attempt_summary.may_have_run else Ran.FALSE
+        kind = ErrorKind.OVERLOADED if ran is Ran.FALSE else ErrorKind.OUTCOME_UNKNOWN
+        return Refused(kind, ran, "too little processor time is left")
+
+    def done_work(self) -> float:
+        """Return the work done so far in sub-requests; sending and reading are half of one each."""
+        if self.gather is None:
+            return 0.0
+        closed = max(0, self.shards - self.gather.open_shards)
+        return (self.gather.attempt_summary.sent + closed) / 2
+
+    def left_work(self) -> float:
+        """Return the work left in sub-requests."""
+        return self.shards if self.gather is None else self.gather.open_shards / 2
+
+
+class AdmissionGate:
+    """Start requests in the order of their plan while the processor is short, else at once."""
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, loop: LoopMonitor, work: WorkEstimates
+    ) -> None:
+        self.clock = clock
+        self._rng = rng
+        self._loop = loop
+        self._work = work
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, Admission] = {}
+        self._running: dict[int, Admission] = {}
+        self._shares = StartShares()
+        self._idle_at_start = Millis(-math.inf)  # idle time of the loop at the last start
+        self._reviewed_at = Millis(-math.inf)
+        self._table: RouteTable | None = None
+        self._max_backlog = Millis(0)
+
+    def admission(self, request: RoutedRequest, shards: int) -> Admission:
+        """Return the admission of a request, to be left at its end."""
+        return Admission(self, next(self._numbers), request, shards)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._waiting)
+
+    def is_first(self, admission: Admission) -> bool:
+        """Return whether an admission waits the longest, and so has to review the gate."""
+        return next(iter(self._waiting), None) == admission.number
+
+    def enter(self, admission: Admission) -> None:
+        """Start a request at once, or let it wait."""
+        self._apply(admission.request.table)
+        if not self._waiting and (not self._running or self._may_start(self._costs())):
+            self._start(admission)
+            return
+        admission.state = State.WAITING
+        self._waiting[admission.number] = admission
+        if len(self._waiting) > MAX_WAITING or self._may_start(self._costs()):
+            self._review()
+
+    def leave(self, admission: Admission) -> None:
+        """Remove a request that has ended, or whose caller has left."""
+        was_running = self._running.pop(admission.number, None) is not None
+        self._waiting.pop(admission.number, None)
+        admission.state = State.OVER
+        if was_running:
+            self._count_work(admission)
+            latencies = sorted(admission.gather.latencies) if admission.gather else []
+            if latencies:
+                latency = latencies[len(latencies) // LOW_QUANTILE]
+                self._work.record_reply_time(admission.request.route.name, latency)
+            self._work.end()
+        if self._waiting:
+            self._review()
+
+    def stop_by(self, answers_by: Millis) -> None:
+        """Refuse waiting requests that another daemon can serve for longer than this one."""
+        for admission in list(self._waiting.values()):
+            if admission.request.deadline > answers_by:
+                refused = Refused(ErrorKind.STOPPING, retry_after=STOPPING_RETRY_AFTER)
+                self._refuse(admission, refused)
+        if self._waiting:
+            self._review()
+
+    def review(self) -> None:
+        """Decide again, unless that was done shortly before."""
+        if self.clock.now() - self._reviewed_at >= REVIEW_INTERVAL / 2:
+            self._review()
+
+    def _review(self) -> None:
+        """Refuse, end and start requests as the plan says."""
+        costs = self._costs()
+        self._reviewed_at = self.clock.now()
+        if costs is None:
+            for admission in list(self._waiting.values()):
+                self._start(admission)
+            return
+        self._end_hopeless(costs)
+        demands = [self._demand(admission, costs) for admission in self._waiting.values()]
+        decision = plan(demands, costs.now, costs.backlog)
+        order = decision.order
+        surplus = [order.pop() for _ in range(len(order) - MAX_WAITING)]
+        for reason, refused in (("deadline", decision.refused), ("queue", surplus)):
+            for demand in refused:
+                self._refuse_unable(demand, order, costs, reason)
+        while order and self._may_start(costs):
+            priorities = {demand.priority for demand in order}
+            due = self._shares.due(priorities)
+            demand = next((d for d in order if d.priority == due), order[0])
+            order.remove(demand)
+            self._shares.record_start(demand.priority, priorities)
+            admission = self._waiting[demand.number]
+            self._log_start(admission, demand, costs, due is not None)
+            self._start(admission)
+            costs = replace(costs, backlog=Millis(costs.backlog + demand.work))
+        self._wake_first()
+
+    def _may_start(self, costs: _Costs | None) -> bool:
+        """Return whether the processor can do more than the work of the running requests."""
+        if costs is None or not self._running or costs.backlog <= self._max_backlog:
+            return True
+        idle = self._idle_time()
+        return self._loop.was_idle and idle - self._idle_at_start >= MIN_WAIT
+
+    def _idle_time(self) -> Millis:
+        """Return the loop's idle time, from a time that does not change."""
+        return Millis(self.clock.now() - self._loop.busy_time())
+
+    def _costs(self) -> _Costs | None:
+        """Return the current estimates, None while the cost of a sub-request is unknown."""
+        for admission in self._running.values():
+            self._count_work(admission)
+        attempt = self._work.processor_estimate()
+        if attempt is None:
+            return None
+        left = sum(self._left_work(admission) for admission in self._running.values())
+        return _Costs(self.clock.now(), attempt, Millis(left * attempt.value))
+
+    def _left_work(self, admission: Admission) -> float:
+        """Return the sub-requests that a running request still has to work on.
+
+        One that waits for its instances longer than usual, while the loop is idle, has none.
+        """
+        idle = Millis(self._idle_time() - admission.idle_at_start)
+        usual = self._work.reply_time(admission.request.route.name) or Millis(0)
+        return 0.0 if idle > max(usual, MIN_WAIT) else admission.left_work()
+
+    def _count_work(self, admission: Admission) -> None:
+        done = admission.done_work()
+        if done > admission.counted:
+            self._work.record_attempts(done - admission.counted)
+            admission.counted = done
+
+    def _demand(self, admission: Admission, costs: _Costs) -> Demand:
+        request = admission.request
+        return Demand(
+            admission.number,
+            admission.priority,
+            request.arrived_at,
+            request.answer_by,
+            request.deadline,
+            Millis(admission.shards * costs.attempt.value),
+            self._work.reply_time(request.route.name) or Millis(0),
+        )
+
+    def _start(self, admission: Admission) -> None:
+        was_waiting = self._waiting.pop(admission.number, None) is not None
+        self._running[admission.number] = admission
+        admission.state = State.STARTED
+        admission.event.set()
+        self._idle_at_start = admission.idle_at_start = self._idle_time()
+        self._work.begin()
+        signals.request_admitted.send(
+            admission.request.route.name,
+            priority=admission.priority,
+            waited=Millis(self.clock.now() - admission.entered_at) if was_waiting else None,
+        )
+
+    def _refuse_unable(
+        self, demand: Demand, order: list[Demand], costs: _Costs, reason: str
+    ) -> None:
+        """Refuse a request that has not run, with the time in which the backlog is completed."""
+        admission = self._waiting[demand.number]
+        wait = backlog_ahead(demand, order, costs.backlog)
+        delay = retry_after(wait, Millis(demand.deadline - costs.now), self._rng)
+        self._bind(admission, demand, costs).bind(reason=reason, retry_after_ms=round(delay)).info(
+            "request refused for lack of processor time"
+        )
+        refused = Refused(ErrorKind.OVERLOADED, Ran.FALSE, "no processor time", delay)
+        self._refuse(admission, refused)
+
+    def _refuse(self, admission: Admission, refused: Refused) -> None:
+        del self._waiting[admission.number]
+        admission.state = State.OVER
+        admission.refused = refused
+        admission.event.set()
+        signals.admission_refused.send(admission.request.route.name, priority=admission.priority)
+
+    def _end_hopeless(self, costs: _Costs) -> None:
+        """End running gathers that are certain to miss their deadlines, as others wait."""
+        for admission in self._running.values():
+            scope, gather, request = admission.scope, admission.gather, admission.request
+            if scope is None or gather is None or not gather.open_shards:
+                continue
+            least = math.ceil(admission.shards * request.route.least_coverage - ROUNDING)
+            missing = max(1, least) - len(gather.reply_by_service)
+            # A peer may still bring those that are missing, but not open any more.
+            missing = min(missing, gather.open_shards) - gather.queued_replies
+            cost = Millis(missing * costs.attempt.least * CERTAIN_READ_SHARE)
+            if missing <= 1 or costs.now + cost <= request.deadline or scope.cancel_called:
+                continue
+            logger.bind(
+                request_id=request.message.request_id,
+                route=request.route.name,
+                missing=missing,
+                open=gather.open_shards,
+                time_left_ms=round(request.deadline - costs.now, 1),
+                needed_ms=round(cost, 1),
+                cost_age_ms=round(costs.attempt.age, 1),
+            ).info("request ended for lack of processor time")
+            scope.cancel()
+
+    def _log_start(
+        self, admission: Admission, demand: Demand, costs: _Costs, by_share: bool
+    ) -> None:
+        """Log a start ahead of requests that arrived before."""
+        overtaken = sum(number < demand.number for number in self._waiting)
+        if overtaken:
+            self._bind(admission, demand, costs).bind(
+                overtaken=overtaken,
+                by_share=by_share,
+                waited_ms=round(costs.now - admission.entered_at, 1),
+            ).info("request started out of order")
+
+    def _bind(self, admission: Admission, demand: Demand, costs: _Costs) -> Any:
+        """Return a logger with the inputs of a decision and their age."""
+        reply = self._work.reply_estimate(admission.request.route.name)
+        return logger.bind(
+            request_id=admission.request.message.request_id,
+            route=admission.request.route.name,
+            priority=demand.priority,
+            time_left_ms=round(demand.deadline - costs.now, 1),
+            target_left_ms=round(demand.answer_by - costs.now, 1),
+            work_ms=round(demand.work, 1),
+            reply_ms=round(demand.reply_time, 1),
+            reply_age_ms=None if reply is None else round(reply.age, 1),
+            backlog_ms=round(costs.backlog, 1),
+            cost_ms=round(costs.attempt.value, 3),
+            cost_spread_ms=round(costs.attempt.spread, 3),
+            cost_age_ms=round(costs.attempt.age, 1),
+            waiting=len(self._waiting),
+            running=len(self._running),
+        )
+
+    def _wake_first(self) -> None:
+        """Let the request that now waits the longest review the gate."""
+        first = next(iter(self._waiting.values()), None)
+        if first is not None:
+            first.event.set()
+
+    def _apply(self, table: RouteTable) -> None:
+        """Derive the bound of the backlog from the shortest latency target of the routes."""
+        if table is self._table:
+            return
+        self._table = table
+        routes = (route for routes in table.routes_by_host.values() for route in routes)
+        shortest = min((route.latency_target for route in routes), default=Millis(0))
+        self._max_backlog = Millis(shortest * MAX_BACKLOG_SHARE)
--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -48,6 +48,16 @@
         self._resend_at_by_shard: dict[int, Millis] = {}
         self._oldest_sent_at = Millis(math.inf)  # no later than the last attempt of any open shard
 
+    @property
+    def open_shards(self) -> int:
+        """Return how many shards have neither a reply nor been given up."""
+        return len(self._open_by_shard)
+
+    @property
+    def queued_replies(self) -> int:
+        """Return how many replies have been read, but not handled."""
+        return self._reply_receiver.statistics().current_buffer_used
+
     async def _gather(self, shards: Sequence[int]) -> None:
         """Query the shards until each has replied or is given up, or until it is time to stop."""
         self._open_by_shard = {shard: ShardState(shard) for shard in shards}
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -280,6 +280,7 @@
     merge: list[int] = field(default_factory=list)
     tried: dict[str, int] = field(default_factory=dict)
     is_counted: bool = False
+    priority: int = 0  # an earlier build names none
 
 
 @message("relayed")
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -19,6 +19,19 @@
     buckets=LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+ADMISSIONS = Counter(
+    "firtrestle_admissions",
+    "Requests by what admission decided: admitted at once, delayed or refused",
+    ["priority", "outcome"],
+    registry=REGISTRY,
+)
+ADMISSION_SECONDS = Histogram(
+    "firtrestle_admission_wait_seconds",
+    "Time that delayed requests waited for the processor",
+    ["priority"],
+    buckets=LATENCY_BUCKETS_S,
+    registry=REGISTRY,
+)
 REVISION = Gauge("firtrestle_catalogue_revision", "Catalogue revision in force", registry=REGISTRY)
 MEMBERS = Gauge("firtrestle_members", "Daemons by status", ["status"], registry=REGISTRY)
 PEER_BYTES = Gauge("firtrestle_peer_bytes", "Bytes over peer streams", ["way"], registry=REGISTRY)
--- a/packages/firtrestle/firtrestle/plugins/metrics.py
+++ b/packages/firtrestle/firtrestle/plugins/metrics.py
@@ -6,7 +6,14 @@
 
 from firtrestle import signals
 from firtrestle.clocks import MILLIS_PER_SECOND
-from firtrestle.metrics import QUERIES, QUERY_SECONDS, REFUSALS, SUB_REQUESTS
+from firtrestle.metrics import (
+    ADMISSION_SECONDS,
+    ADMISSIONS,
+    QUERIES,
+    QUERY_SECONDS,
+    REFUSALS,
+    SUB_REQUESTS,
+)
 from firtrestle.queries import GatherResult
 
 if TYPE_CHECKING:
@@ -33,9 +40,21 @@
     QUERY_SECONDS.labels(route_name).observe(latency / MILLIS_PER_SECOND)
 
 
+def _on_admission(route_name: str, priority: int, waited: float | None) -> None:
+    ADMISSIONS.labels(str(priority), "admitted" if waited is None else "delayed").inc()
+    if waited is not None:
+        ADMISSION_SECONDS.labels(str(priority)).observe(waited / MILLIS_PER_SECOND)
+
+
+def _on_admission_refusal(route_name: str, priority: int) -> None:
+    ADMISSIONS.labels(str(priority), "refused").inc()
+
+
 def register(kernel: Kernel) -> None:
     """Connect the metrics to the signals."""
     signals.query_answered.connect(_on_answer)
     signals.request_answered.connect(_on_route_answer)
     signals.query_refused.connect(_on_refusal)
+    signals.request_admitted.connect(_on_admission)
+    signals.admission_refused.connect(_on_admission_refusal)
     signals.sub_requests_sent.connect(_on_sub_requests)
--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -70,6 +70,7 @@
         services=list(terms.services),
         tried=terms.tried_by_service,
         is_counted=terms.is_counted,
+        priority=route.priority,
     )
 
 
@@ -96,6 +97,7 @@
         timeout=Millis(relay.left_ms),
         latency_target=Millis(relay.target_ms),
         max_attempts=relay.max_attempts,
+        priority=relay.priority,
         shards=services,
         merge=_decode_merge(relay.merge),
         least_coverage=relay.least_coverage,
@@ -191,6 +193,7 @@
         and bool(relay.services)
         and _are_texts(*relay.services)
         and (bool(relay.merge) or len(relay.services) == 1),
+        "priority": type(relay.priority) is int and relay.priority >= 0,
         "tried": isinstance(relay.tried, dict)
         and all(isinstance(count, int) for count in relay.tried.values()),
     }
--- a/packages/firtrestle/firtrestle/relay_servers.py
+++ b/packages/firtrestle/firtrestle/relay_servers.py
@@ -57,7 +57,6 @@
                 reason=refusal,
             ).info("relay refused")
             return Relayed(refusal=refusal)
-        self.served += 1
         self.running += 1
         self._state.running += 1
         try:
@@ -67,8 +66,14 @@
             self._state.running -= 1
 
     async def _run(self, request: RoutedRequest, terms: RelayTerms, started_at: Millis) -> Relayed:
-        gather = ServiceGather(self._tools, request, terms.services, terms, MAX_REPLY_BYTES)
-        await gather.collect()
+        with self._tools.gate.admission(request, len(terms.services)) as admission:
+            refused = await admission.wait()
+            if refused is not None:
+                self.refused += 1
+                return Relayed(refusal=str(refused.kind))
+            self.served += 1
+            gather = ServiceGather(self._tools, request, terms.services, terms, MAX_REPLY_BYTES)
+            await admission.run(gather, gather.collect, may_end=False)
         relayed = encode_result(
             request.route.merge, gather.reply_by_service, gather.attempt_summary
         )
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from firtrestle import signals
+from firtrestle.admission_gates import STOPPING_RETRY_AFTER
 from firtrestle.answers import Answer
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
@@ -22,12 +23,12 @@
 from firtrestle.routes import RouteTable
 from firtrestle.service_gathers import ServiceGather
 from firtrestle.service_tools import ServiceTools
+from firtrestle.uplinks import UplinkState
 
 RESPONSE_RESERVE = Millis(10)  # kept back from the caller's deadline to transmit the response
 KINDS_WORTH_RETRYING = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
 # Long enough for a queue to drain; a shard without replicas takes seconds to return anyway.
 DEFAULT_RETRY_AFTER = Millis(200)
-STOPPING_RETRY_AFTER = Millis(50)  # another daemon serves the request at once
 RETRY_AFTER_JITTER = (0.5, 1.5)  # factors of the delay, so that callers don't retry in step
 # A starting daemon reads its initial state in two short calls.
 MAX_STARTUP_WAIT = Millis(150)
@@ -89,6 +90,7 @@
         """Answer all requests by a time, as the process ends soon after it."""
         self.state.stopping = True
         self.state.answers_by = answers_by
+        self._tools.gate.stop_by(answers_by)
         for scope in self._running_scopes:
             scope.deadline = self._last_answer_at()
 
@@ -147,11 +149,17 @@
         routed = RoutedRequest(
             request.message, route, table, arrived_at, deadline, self._tools.loop.busy_time()
         )
-        quarantined = self._quarantine_refusal(routed)
-        if quarantined is not None:
-            return self._refuse(request_id, route.name, arrived_at, quarantined)
-        gather = RelayingGather(self._tools, routed, services)
-        result = await gather.run()
+        # It works here only as far as the instances are reached from here.
+        shards = 0 if self._tools.uplink.state is UplinkState.DOWN else len(services)
+        with self._tools.gate.admission(routed, shards) as admission:
+            refused = self._quarantine_refusal(routed) or await admission.wait()
+            refused = refused or self._quarantine_refusal(routed)
+            if refused is not None:
+                return self._refuse(request_id, route.name, arrived_at, refused)
+            if not self._tools.crashes.is_empty:
+                self._tools.crashes.begin_trial(routed.fingerprint)
+            gather = RelayingGather(self._tools, routed, services)
+            result = await admission.run(gather, gather.run)
         if isinstance(result, Refused):
             return self._refuse(request_id, route.name, arrived_at, result, gather)
         self._report_answer(request_id, routed, gather, result)
@@ -165,7 +173,6 @@
         fingerprint = routed.fingerprint
         quarantine_left = crashes.time_left(fingerprint)
         if quarantine_left is None:
-            crashes.begin_trial(fingerprint)
             return None
         return Refused(ErrorKind.QUARANTINED, detail=fingerprint, retry_after=quarantine_left)
 
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -62,7 +62,7 @@
         self._services = services
         self._parts = Parts(services)
         self._numbers = itertools.count(1)
-        self._latencies: list[Millis] = []
+        self.latencies: list[Millis] = []
         self._call_by_attempt: dict[int, InstanceCall] = {}
         self.attempt_summary = AttemptSummary()
         # All replies of a gather together fit into the memory for replies.
@@ -92,7 +92,7 @@
         """Get the services' replies."""
         self._count()
         await self._gather(range(len(self._services)))
-        self._tools.hedger.learn(self._route.name, self._latencies)
+        self._tools.hedger.learn(self._route.name, self.latencies)
         for shard, state in list(self._open_by_shard.items()):
             self._record_overdue(state)
             reason = SubOutcome.DEADLINE if state.attempts else state.last_failure
@@ -240,11 +240,11 @@
             self._report_good(attempt.replica.id, latency)
         for loser in state.attempts:
             waited = Millis(now - self._awaited_since(loser))
-            self._latencies.append(waited)
+            self.latencies.append(waited)
             if waited > latency:  # a hedge that was beaten by an earlier attempt lost no race
                 self._record_lost_race(loser, waited)
             loser.cancel()
-        self._latencies.append(latency)
+        self.latencies.append(latency)
         self._parts.reply_by_service[self._services[state.number]] = reply
         self._release_held_back()
 
@@ -465,7 +465,7 @@
         if closed < int(MIN_CLOSED_SHARDS_SHARE * len(self._services)):
             return Millis(target * MAX_HEDGE_DELAY_SHARE)
         delay = self._tools.hedger.delay(
-            Progress(self._route.name, len(self._services), len(self._latencies), Millis(0))
+            Progress(self._route.name, len(self._services), len(self.latencies), Millis(0))
         )
         if delay is None:
             return Millis(target * DEFAULT_HEDGE_DELAY_SHARE)
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
+from firtrestle.admission_gates import AdmissionGate
 from firtrestle.availabilities import Availability
 from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import Clock
@@ -48,10 +49,12 @@
     reply_memory_bytes: int
     availability: Availability = field(init=False)
     work: WorkEstimates = field(init=False)
+    gate: AdmissionGate = field(init=False)
 
     def __post_init__(self) -> None:
         """Join what the components know of single instances, and estimate this daemon's work."""
         self.work = WorkEstimates(self.clock, self.loop)
+        self.gate = AdmissionGate(self.clock, self.rng, self.loop, self.work)
         self.availability = Availability(
             self.clock,
             self.data_centre,
--- a/packages/firtrestle/firtrestle/target_pools.py
+++ b/packages/firtrestle/firtrestle/target_pools.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import json
 from collections import deque
 from collections.abc import Callable
@@ -11,6 +9,7 @@
 
 import trio
 
+from firtrestle.call_queues import CallQueue
 from firtrestle.clocks import Clock, Millis, move_on_after, sleep
 from firtrestle.http_clients import HttpConnection, HttpFailure, HttpReply, NoFreeConnection
 from firtrestle.leases import LOTS_PER_TARGET, TargetLease
@@ -75,8 +74,7 @@
         self._idle: list[HttpConnection] = []
         self._opened_at_by_connection: dict[HttpConnection, Millis] = {}
         self._crashed_at: Millis | None = None  # when the last exchange broke off
-        self._queue: list[tuple[int, int, TargetCall]] = []
-        self._sequence = itertools.count()
+        self._queue: CallQueue[TargetCall] = CallQueue()
         self._service_times: deque[Millis] = deque(maxlen=SERVICE_TIME_SAMPLES)
         self._closed = False
         self._suspect_running = False
@@ -111,7 +109,7 @@
         if refusal is not None:
             call.finish(refusal)
             return call
-        heapq.heappush(self._queue, (0 if sub.urgent else 1, next(self._sequence), call))
+        self._queue.push(0 if sub.urgent else 1, call.deadline, call)
         self._dispatch()
         return call
 
@@ -163,7 +161,7 @@
             self._release_connection(connection)
 
     def _refuse_queued(self) -> None:
-        for _, _, call in self._queue:
+        for _, call in self._queue:
             call.finish(empty_reply(call.sub, SubOutcome.NOT_HOLDER, "no slot is leased"))
         self._queue.clear()
 
@@ -189,8 +187,8 @@
         """Estimate the queueing delay from the mean service time and the calls ahead."""
         ahead = sum(
             1
-            for rank, _, call in self._queue
-            if call.sub.searcher == sub.searcher and (rank == 0 or not sub.urgent)
+            for priority, call in self._queue
+            if call.sub.searcher == sub.searcher and (priority == 0 or not sub.urgent)
         )
         if not self._service_times or not ahead:
             return Millis(0)
@@ -207,19 +205,10 @@
         """Remove the first queued call that may run now, and occupy a slot for it."""
         if self.in_flight >= self.connection_share:
             return None
-        held_back: list[tuple[int, int, TargetCall]] = []
-        runnable: TargetCall | None = None
-        while self._queue and runnable is None:
-            entry = heapq.heappop(self._queue)
-            call = entry[2]
-            if call.finished or self._drop_if_expired(call):
-                continue
-            if self._may_run(call.sub):
-                runnable = call
-            else:
-                held_back.append(entry)
-        for entry in held_back:
-            heapq.heappush(self._queue, entry)
+        runnable = self._queue.pop(
+            lambda call: call.finished or self._drop_if_expired(call),
+            lambda call: self._may_run(call.sub),
+        )
         if runnable is not None:
             name = runnable.sub.searcher
             self.in_flight_by_searcher[name] = self.in_flight_by_searcher.get(name, 0) + 1
