--- a/packages/firtrestle/firtrestle/admission_gates.py
+++ b/packages/firtrestle/firtrestle/admission_gates.py
@@ -5,6 +5,7 @@
 import itertools
 import math
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from enum import Enum, auto
@@ -26,9 +27,11 @@
 REVIEW_INTERVAL = Millis(10)  # a share of the shortest latency targets, 90 ms
 # Of the shortest latency target: work of running requests up to which the next one starts. The
 # processor then has work while instances reply, and an urgent arrival finds little ahead of it.
-MAX_BACKLOG_SHARE = 0.25
+# With 0.25, three gathers share the processor and all end late.
+MAX_BACKLOG_SHARE = 0.125
+SHARE_WINDOW = Millis(500)  # of starts; several requests of the largest kind
 MAX_WAITING = 128  # bounds the time of one decision, which grows with the number of requests
-# Part of a sub-request's least known cost that the reading of its reply takes in any case.
+# Part of the lower quartile of a sub-request's costs that reading its reply takes in any case.
 CERTAIN_READ_SHARE = 0.25
 LOW_QUANTILE = 4  # the lower quarter of replies have hardly waited for this daemon to read them
 ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
@@ -90,7 +93,7 @@
         self.gather: RunningGather | None = None
         self.scope: trio.CancelScope | None = None
         self.counted = 0.0  # sub-requests that the estimates know of
-        self.idle_at_start = Millis(0)  # idle time of the loop
+        self.idle_at_progress = Millis(0)  # idle time of the loop when work was last seen done
         self._gate = gate
 
     def __enter__(self) -> Admission:
@@ -155,6 +158,7 @@
         self._waiting: dict[int, Admission] = {}
         self._running: dict[int, Admission] = {}
         self._shares = StartShares()
+        self._in_time_starts: deque[tuple[Millis, int, Millis]] = deque()  # at, priority, work
         self._idle_at_start = Millis(-math.inf)  # idle time of the loop at the last start
         self._reviewed_at = Millis(-math.inf)
         self._table: RouteTable | None = None
@@ -176,18 +180,22 @@
     def enter(self, admission: Admission) -> None:
         """Start a request at once, or let it wait."""
         self._apply(admission.request.table)
-        if not self._waiting and (not self._running or self._may_start(self._costs())):
+        costs = self._costs() if self._running else None
+        if not self._waiting and self._may_start(costs):
+            if self._running and costs is not None:
+                work = Millis(admission.shards * costs.attempt.value)
+                self._in_time_starts.append((costs.now, admission.priority, work))
             self._start(admission)
             return
         admission.state = State.WAITING
         self._waiting[admission.number] = admission
-        if len(self._waiting) > MAX_WAITING or self._may_start(self._costs()):
+        if len(self._waiting) > MAX_WAITING or self._may_start(costs):
             self._review()
 
     def leave(self, admission: Admission) -> None:
         """Remove a request that has ended, or whose caller has left."""
         was_running = self._running.pop(admission.number, None) is not None
-        self._waiting.pop(admission.number, None)
+        was_waiting = self._waiting.pop(admission.number, None) is not None
         admission.state = State.OVER
         if was_running:
             self._count_work(admission)
@@ -196,8 +204,10 @@
                 latency = latencies[len(latencies) // LOW_QUANTILE]
                 self._work.record_reply_time(admission.request.route.name, latency)
             self._work.end()
-        if self._waiting:
-            self._review()
+            if self._waiting:
+                self._review()
+        elif was_waiting:
+            self._wake_first()
 
     def stop_by(self, answers_by: Millis) -> None:
         """Refuse waiting requests that another daemon can serve for longer than this one."""
@@ -222,8 +232,13 @@
                 self._start(admission)
             return
         self._end_hopeless(costs)
-        demands = [self._demand(admission, costs) for admission in self._waiting.values()]
-        decision = plan(demands, costs.now, costs.backlog)
+        names = {admission.request.route.name for admission in self._waiting.values()}
+        reply_times = {name: self._work.reply_time(name) or Millis(0) for name in names}
+        demands = [
+            self._demand(admission, costs, reply_times) for admission in self._waiting.values()
+        ]
+        shares = self._in_time_shares(costs.now)
+        decision = plan(demands, costs.now, costs.backlog, shares)
         order = decision.order
         surplus = [order.pop() for _ in range(len(order) - MAX_WAITING)]
         for reason, refused in (("deadline", decision.refused), ("queue", surplus)):
@@ -237,10 +252,22 @@
             self._shares.record_start(demand.priority, priorities)
             admission = self._waiting[demand.number]
             self._log_start(admission, demand, costs, due is not None)
+            if demand.number not in decision.late:
+                self._in_time_starts.append((costs.now, demand.priority, demand.work))
             self._start(admission)
             costs = replace(costs, backlog=Millis(costs.backlog + demand.work))
         self._wake_first()
 
+    def _in_time_shares(self, now: Millis) -> dict[int, float]:
+        """Return the processor's shares that requests in time have taken, by priority."""
+        starts = self._in_time_starts
+        while starts and now - starts[0][0] > SHARE_WINDOW:
+            starts.popleft()
+        shares: dict[int, float] = {}
+        for _, priority, work in starts:
+            shares[priority] = shares.get(priority, 0.0) + work / SHARE_WINDOW
+        return shares
+
     def _may_start(self, costs: _Costs | None) -> bool:
         """Return whether the processor can do more than the work of the running requests."""
         if costs is None or not self._running or costs.backlog <= self._max_backlog:
@@ -265,28 +292,33 @@
     def _left_work(self, admission: Admission) -> float:
         """Return the sub-requests that a running request still has to work on.
 
-        One that waits for its instances longer than usual, while the loop is idle, has none.
+        One waits for its instances, and has none, if the loop was idle since its last progress.
         """
-        idle = Millis(self._idle_time() - admission.idle_at_start)
-        usual = self._work.reply_time(admission.request.route.name) or Millis(0)
-        return 0.0 if idle > max(usual, MIN_WAIT) else admission.left_work()
+        idle = self._idle_time() - admission.idle_at_progress
+        return 0.0 if idle >= MIN_WAIT else admission.left_work()
 
     def _count_work(self, admission: Admission) -> None:
         done = admission.done_work()
         if done > admission.counted:
             self._work.record_attempts(done - admission.counted)
             admission.counted = done
+            admission.idle_at_progress = self._idle_time()
 
-    def _demand(self, admission: Admission, costs: _Costs) -> Demand:
+    def _demand(
+        self, admission: Admission, costs: _Costs, reply_times: dict[str, Millis]
+    ) -> Demand:
         request = admission.request
+        work = Millis(admission.shards * costs.attempt.value)
         return Demand(
             admission.number,
             admission.priority,
             request.arrived_at,
-            request.answer_by,
-            request.deadline,
-            Millis(admission.shards * costs.attempt.value),
-            self._work.reply_time(request.route.name) or Millis(0),
+            # Requests share the processor with the one that starts before and the one that starts
+            # after them, half of each at most. Near the deadline, that decides on the answer.
+            Millis(request.answer_by - self._max_backlog),
+            Millis(request.deadline - max(self._max_backlog, work)),
+            work,
+            reply_times[request.route.name],
         )
 
     def _start(self, admission: Admission) -> None:
@@ -294,7 +326,7 @@
         self._running[admission.number] = admission
         admission.state = State.STARTED
         admission.event.set()
-        self._idle_at_start = admission.idle_at_start = self._idle_time()
+        self._idle_at_start = admission.idle_at_progress = self._idle_time()
         self._work.begin()
         signals.request_admitted.send(
             admission.request.route.name,
@@ -332,7 +364,7 @@
             missing = max(1, least) - len(gather.reply_by_service)
             # A peer may still bring those that are missing, but not open any more.
             missing = min(missing, gather.open_shards) - gather.queued_replies
-            cost = Millis(missing * costs.attempt.least * CERTAIN_READ_SHARE)
+            cost = Millis(missing * costs.attempt.lower * CERTAIN_READ_SHARE)
             if missing <= 1 or costs.now + cost <= request.deadline or scope.cancel_called:
                 continue
             logger.bind(
--- a/packages/firtrestle/firtrestle/admissions.py
+++ b/packages/firtrestle/firtrestle/admissions.py
@@ -6,8 +6,9 @@
 import itertools
 import random
 from bisect import bisect_right
-from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 
 from firtrestle.clocks import Millis
 
@@ -15,6 +16,8 @@
 MAX_WEIGHT_STEPS = 100  # keeps the weight of any priority within the range of floats
 # A priority with waiting requests gets one of this many starts, or of the priorities that wait.
 FLOOR_STARTS = 4
+# Of the processor, for late requests; less would refuse them all on the first overload.
+MIN_SHARE_LEFT = 0.05
 MIN_RETRY_AFTER = Millis(20)
 RETRY_AFTER_SPREAD = (1.0, 1.5)  # factors of the delay, so that callers don't return as one wave
 MAX_RETRY_SHARE = 1 / 3  # of the time left; callers do not wait longer for a retry
@@ -32,6 +35,11 @@
     work: Millis
     reply_time: Millis
 
+    @property
+    def target_due(self) -> Millis:
+        """Return the due time of the latency target; callers may set an earlier deadline."""
+        return min(self.answer_by, self.deadline)
+
     @property
     def work_per_weight(self) -> float:
         """Return the processor time that the request costs for the weight of its priority."""
@@ -51,53 +59,97 @@
     refused: list[Demand] = field(default_factory=list)
 
 
-def plan(waiting: Collection[Demand], now: Millis, backlog: Millis) -> Plan:
+def plan(
+    waiting: Collection[Demand],
+    now: Millis,
+    backlog: Millis,
+    in_time_shares: Mapping[int, float] = MappingProxyType({}),
+) -> Plan:
     """Order the waiting requests, and refuse those that can't be answered by their deadlines.
 
     `backlog` is the work of running requests, after which that of waiting ones can be done.
+    `in_time_shares` are the shares of the processor that requests in time have taken of late, by
+    priority. Requests that are late have the rest, as those in time go on to arrive.
     """
     start = Millis(now + backlog)
     result = Plan()
-    feasible: list[Demand] = []
-    due: dict[int, Millis] = {}
+    in_time: list[Demand] = []
+    late: list[Demand] = []
     for demand in waiting:
         if demand.latest_start(demand.deadline) < start:
             result.refused.append(demand)
-            continue
-        in_time = demand.latest_start(demand.answer_by) >= start
-        due[demand.number] = demand.answer_by if in_time else demand.deadline
-        if not in_time:
-            result.late.add(demand.number)
-        feasible.append(demand)
-    kept, removed = _keep_most(feasible, (), start, due)
-    if removed:
-        due |= {demand.number: demand.deadline for demand in removed}
-        result.late |= {demand.number for demand in removed}
-        fitting, unfit = _split_by_fit(kept, removed, start, due)
-        others, dropped = _keep_most(fitting, kept, start, due)
-        kept = others
-        result.refused += unfit + dropped
+        elif demand.latest_start(demand.target_due) < start:
+            late.append(demand)
+        else:
+            in_time.append(demand)
+    due = {demand.number: demand.target_due for demand in in_time}
+    in_time, removed = _keep_most(in_time, (), start, due)
+    late += removed
+    kept, dropped = _keep_late(in_time, late, start, due, in_time_shares)
+    if dropped:
+        # A less urgent request may rather be late than a more urgent one be refused.
+        urgent = min(demand.priority for demand in dropped)
+        demoted = [demand for demand in in_time if demand.priority > urgent]
+        if demoted:
+            in_time = [demand for demand in in_time if demand.priority <= urgent]
+            kept, dropped = _keep_late(in_time, late + demoted, start, due, in_time_shares)
+    result.refused += dropped
+    result.late = {demand.number for demand in kept} - {demand.number for demand in in_time}
     result.order = _order(kept, start, due, result.late)
     return result
 
 
+def _keep_late(
+    in_time: list[Demand],
+    late: list[Demand],
+    start: Millis,
+    due: dict[int, Millis],
+    in_time_shares: Mapping[int, float],
+) -> tuple[list[Demand], list[Demand]]:
+    """Return the requests in time with the late ones that fit in, and those that don't."""
+    if not late:
+        return in_time, []
+    due |= {demand.number: demand.deadline for demand in late}
+    by_number = {demand.number: demand for demand in late}
+    slowed = [
+        replace(demand, work=Millis(demand.work / _share_left(demand.priority, in_time_shares)))
+        for demand in late
+    ]
+    fitting, unfit = _split_by_fit(in_time, slowed, start, due)
+    kept, dropped = _keep_most(fitting, in_time, start, due)
+    return (
+        [by_number.get(demand.number, demand) for demand in kept],
+        [by_number[demand.number] for demand in unfit + dropped],
+    )
+
+
+def _share_left(priority: int, in_time_shares: Mapping[int, float]) -> float:
+    """Return the share of the processor that is left to late requests of a priority."""
+    more_urgent = sum(share for other, share in in_time_shares.items() if other < priority)
+    taken = min(more_urgent, 1 - 1 / FLOOR_STARTS) + in_time_shares.get(priority, 0.0)
+    return max(1 - taken, MIN_SHARE_LEFT)
+
+
 def _order(
     demands: list[Demand], start: Millis, due: dict[int, Millis], late: set[int]
 ) -> list[Demand]:
-    """Return the most urgent order in which each request meets its due time."""
+    """Return the most urgent order in which the requests in time are not made late.
+
+    Late ones come behind those of their priority that are in time.
+    """
 
     def by_priority(demand: Demand) -> tuple[float, ...]:
         latest_start = demand.latest_start(due[demand.number])
-        return demand.priority, latest_start, demand.arrived_at, demand.number
-
-    def late_last(demand: Demand) -> tuple[float, ...]:
-        return demand.number in late, *by_priority(demand)
+        is_late = demand.number in late
+        return demand.priority, is_late, latest_start, demand.arrived_at, demand.number
 
-    for key in (by_priority, late_last):
-        ordered = sorted(demands, key=key)
-        if _meets_due_times(ordered, start, due):
-            return ordered
-    return sorted(demands, key=_by_due_time(due))
+    ordered = sorted(demands, key=by_priority)
+    if not _meets_due_times(ordered, start, due, late):
+        ordered.sort(key=lambda demand: demand.number in late)
+        if not _meets_due_times(ordered, start, due, late):
+            by_due_time = _by_due_time(due)
+            ordered.sort(key=lambda demand: (demand.number in late, *by_due_time(demand)))
+    return ordered
 
 
 def _by_due_time(due: dict[int, Millis]) -> Callable[[Demand], tuple[float, ...]]:
@@ -110,10 +162,13 @@
     )
 
 
-def _meets_due_times(ordered: Sequence[Demand], start: Millis, due: dict[int, Millis]) -> bool:
+def _meets_due_times(
+    ordered: Sequence[Demand], start: Millis, due: dict[int, Millis], late: set[int]
+) -> bool:
+    """Return whether all requests that are in time stay so in this order."""
     for demand in ordered:
         start = Millis(start + demand.work)
-        if start + demand.reply_time > due[demand.number]:
+        if demand.number not in late and start + demand.reply_time > due[demand.number]:
             return False
     return True
 
--- a/packages/firtrestle/firtrestle/call_queues.py
+++ b/packages/firtrestle/firtrestle/call_queues.py
@@ -37,7 +37,7 @@
 
     def pop(self, is_over: Callable[[Call], bool], may_run: Callable[[Call], bool]) -> Call | None:
         """Remove the calls that are over, up to the first that may run, and return that one."""
-        waiting = sorted(self._heap_by_priority)
+        waiting = sorted(priority for priority, heap in self._heap_by_priority.items() if heap)
         due = self._shares.due(waiting)
         for priority in sorted(waiting, key=lambda priority: priority != due):
             call = self._pop_from(priority, is_over, may_run)
@@ -48,7 +48,8 @@
 
     def clear(self) -> None:
         """Remove all calls."""
-        self._heap_by_priority.clear()
+        for heap in self._heap_by_priority.values():
+            heap.clear()
 
     def _pop_from(
         self, priority: int, is_over: Callable[[Call], bool], may_run: Callable[[Call], bool]
@@ -66,6 +67,4 @@
                 held_back.append(entry)
         for entry in held_back:
             heapq.heappush(heap, entry)
-        if not heap:
-            del self._heap_by_priority[priority]
         return found
--- a/packages/firtrestle/firtrestle/target_pools.py
+++ b/packages/firtrestle/firtrestle/target_pools.py
@@ -161,7 +161,7 @@
             self._release_connection(connection)
 
     def _refuse_queued(self) -> None:
-        for _, call in self._queue:
+        for _, call in list(self._queue):
             call.finish(empty_reply(call.sub, SubOutcome.NOT_HOLDER, "no slot is leased"))
         self._queue.clear()
 
--- a/packages/firtrestle/firtrestle/work_estimates.py
+++ b/packages/firtrestle/firtrestle/work_estimates.py
@@ -33,7 +33,7 @@
     value: Millis
     spread: Millis
     age: Millis
-    least: Millis  # the least of the samples
+    lower: Millis  # the lower quartile
 
 
 @dataclass(slots=True)
@@ -142,7 +142,7 @@
     newest_at = recent[0].at
     recent.sort(key=lambda sample: sample.value)
     lower, median, upper = (_quantile(recent, weight * share) for share in (0.25, 0.5, 0.75))
-    return Estimate(median, Millis(upper - lower), Millis(now - newest_at), recent[0].value)
+    return Estimate(median, Millis(upper - lower), Millis(now - newest_at), lower)
 
 
 def _quantile(samples: list[_Sample], weight: float) -> Millis:
