Test admission at the front, for relays, in its logs and in its metrics

Cause: a request that had little time left was refused although nothing else needed the processor any more. Change: it starts if it still fits alone.

--- a/packages/firtrestle/firtrestle/admission_gates.py
+++ b/packages/firtrestle/firtrestle/admission_gates.py
@@ -241,7 +241,11 @@
         decision = plan(demands, costs.now, costs.backlog, shares)
         order = decision.order
         surplus = [order.pop() for _ in range(len(order) - MAX_WAITING)]
-        for reason, refused in (("deadline", decision.refused), ("queue", surplus)):
+        unable = decision.refused
+        if not order and self._may_start(costs):  # there is no shortage but of time
+            order = [demand for demand in unable if self._fits_alone(demand, costs.now)]
+            unable = [demand for demand in unable if demand not in order]
+        for reason, refused in (("deadline", unable), ("queue", surplus)):
             for demand in refused:
                 self._refuse_unable(demand, order, costs, reason)
         while order and self._may_start(costs):
@@ -321,6 +325,11 @@
             reply_times[request.route.name],
         )
 
+    def _fits_alone(self, demand: Demand, now: Millis) -> bool:
+        """Return whether a request meets its deadline if nothing else needs the processor."""
+        deadline = self._waiting[demand.number].request.deadline
+        return demand.latest_start(deadline) >= now
+
     def _start(self, admission: Admission) -> None:
         was_waiting = self._waiting.pop(admission.number, None) is not None
         self._running[admission.number] = admission
--- a/packages/firtrestle/tests/test_admission_gates.py
+++ b/packages/firtrestle/tests/test_admission_gates.py
@@ -1,17 +1,22 @@
 """Simulate loads on daemons whose processor is too slow for them, without a network."""
 
 import random
+from collections import Counter
+from dataclasses import replace
 
 import pytest
 import trio
 from admission_fakes import Daemon, simulate
+from firtrestle import metrics, signals
 from firtrestle.admission_gates import CERTAIN_READ_SHARE
 from firtrestle.clocks import Millis, sleep
 from firtrestle.errors import ErrorKind, Ran
 from firtrestle.instance_replies import CallerMessage
+from firtrestle.plugins import metrics as metrics_plugin
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
 from firtrestle.work_estimates import MAX_AGE
+from loguru import logger
 from route_fakes import scatter_route
 
 URGENT = scatter_route(
@@ -316,3 +321,66 @@
             nursery.cancel_scope.cancel()
 
     simulate(main)
+
+
+def test_a_request_with_little_time_is_not_refused_once_the_processor_is_free():
+    """It has arrived behind another one, and the margin for others that may come is not needed."""
+
+    async def main():
+        daemon = Daemon(TABLE)
+        await daemon.teach(URGENT)
+        hasty = replace(URGENT, name="hasty", timeout=Millis(42))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(daemon.ask, URGENT)
+            await sleep(Millis(1))
+            await daemon.ask(hasty)
+        assert {result.outcome for result in daemon.results} == {"answered"}
+
+    simulate(main)
+
+
+def test_refusals_and_starts_out_of_order_are_logged_with_their_inputs_and_counted():
+    lines = []
+    counted = Counter()
+
+    def count(route_name, priority, waited="refused"):
+        counted[priority, "refused" if waited == "refused" else waited is not None] += 1
+
+    async def main():
+        daemon = Daemon(TABLE)
+        await daemon.teach(URGENT)
+        async with trio.open_nursery() as nursery:
+            await send(daemon, nursery, PATIENT, 5)
+            await send(daemon, nursery, URGENT, 100)
+
+    sink = logger.add(lambda line: lines.append(line.record))
+    signals.request_admitted.connect(count)
+    signals.admission_refused.connect(count)
+    try:
+        simulate(main)
+    finally:
+        logger.remove(sink)
+        signals.request_admitted.disconnect(count)
+        signals.admission_refused.disconnect(count)
+    by_message = {line["message"]: line["extra"] for line in lines}
+    counts = Counter(line["message"] for line in lines)
+    refused = by_message["request refused for lack of processor time"]
+    assert counts["request refused for lack of processor time"] == counted[0, "refused"]
+    assert {"request_id", "priority", "time_left_ms", "work_ms", "backlog_ms", "reason"} <= set(
+        refused
+    )
+    assert {"cost_ms", "cost_age_ms", "cost_spread_ms", "reply_ms", "reply_age_ms"} <= set(refused)
+    assert by_message["request started out of order"]["overtaken"] >= 1
+    assert counted[2, True] + counted[2, False] == 5
+    assert counted[0, True] + counted[0, False] + counted[0, "refused"] == 103
+    assert 3 <= counted[0, False] <= 6  # those of before the load and its first ones
+
+
+def test_admissions_are_exported_by_priority_with_the_time_that_they_waited():
+    metrics_plugin._on_admission("r", priority=7, waited=None)
+    metrics_plugin._on_admission("r", priority=7, waited=Millis(30))
+    metrics_plugin._on_admission_refusal("r", priority=7)
+    text = metrics.exposition().decode()
+    for outcome in ("admitted", "delayed", "refused"):
+        assert f'firtrestle_admissions_total{{outcome="{outcome}",priority="7"}} 1.0' in text
+    assert 'firtrestle_admission_wait_seconds_count{priority="7"} 1.0' in text
--- a/packages/firtrestle/tests/test_target_pools.py
+++ b/packages/firtrestle/tests/test_target_pools.py
@@ -117,6 +117,20 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_ordinary_calls_get_a_quarter_of_the_starts_under_a_flood_of_urgent_calls():
+    """Urgent calls that always wait would keep ordinary ones from ever starting."""
+    target, replies = Target(), []
+    async with trio.open_nursery() as nursery:
+        pool = await open_pool(target, nursery, slots=1)
+        for attempt in range(13):
+            pool.start(sub_request(attempt, urgent=attempt not in (1, 2)), replies.append)
+        target.release.set()
+        await wait_until(lambda: len(replies) == 13)
+        order = [call["attempt"] for call in target.received]
+        assert order == [0, 3, 4, 5, 1, 6, 7, 8, 2, 9, 10, 11, 12]
+        nursery.cancel_scope.cancel()
+
+
 async def test_cancelled_call_keeps_its_slot_until_the_target_replies():
     target, replies = Target(), []
     async with trio.open_nursery() as nursery:
