--- a/packages/firtrestle/firtrestle/gathers.py
+++ b/packages/firtrestle/firtrestle/gathers.py
@@ -50,6 +50,16 @@
         self._opened = 0  # shards, over time
         self._sends = 0
 
+    @property
+    def open_shards(self) -> int:
+        """Return how many shards have neither a reply nor been given up."""
+        return len(self._open_by_shard)
+
+    @property
+    def queued_replies(self) -> int:
+        """Return how many replies have been read, but not handled."""
+        return self._reply_receiver.statistics().current_buffer_used
+
     async def _gather(self, shards: Sequence[int]) -> None:
         """Query the shards until each has replied or is given up, or until it is time to stop."""
         self._open_by_shard = {}
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -284,6 +284,7 @@
     tried: dict[str, int] = field(default_factory=dict)
     is_counted: bool = False
     others: int = 0
+    priority: int = 0  # an earlier build names none
 
 
 @message("relayed")
--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -82,6 +82,7 @@
         tried=terms.tried_by_service,
         is_counted=terms.is_counted,
         others=terms.others,
+        priority=route.priority,
     )
 
 
@@ -108,6 +109,7 @@
         timeout=Millis(relay.left_ms),
         latency_target=Millis(relay.target_ms),
         max_attempts=relay.max_attempts,
+        priority=relay.priority,
         shards=services,
         merge=_decode_merge(relay.merge),
         least_coverage=relay.least_coverage,
@@ -203,6 +205,7 @@
         and bool(relay.services)
         and _are_texts(*relay.services)
         and (bool(relay.merge) or len(relay.services) == 1),
+        "priority": type(relay.priority) is int and relay.priority >= 0,
         "tried": isinstance(relay.tried, dict)
         and all(isinstance(count, int) for count in relay.tried.values()),
     }
