--- a/packages/firtrestle/firtrestle/admission_gates.py
+++ b/packages/firtrestle/firtrestle/admission_gates.py
@@ -30,7 +30,7 @@
 # With 0.25, three gathers share the processor and all end late.
 MAX_BACKLOG_SHARE = 0.125
 SHARE_WINDOW = Millis(500)  # of starts; several requests of the largest kind
-MAX_WAITING = 128  # bounds the time of one decision, which grows with the number of requests
+MAX_WAITING = 256  # bounds the time of one decision, which grows with the number of requests
 # Part of the lower quartile of a sub-request's costs that reading its reply takes in any case.
 CERTAIN_READ_SHARE = 0.25
 LOW_QUANTILE = 4  # the lower quarter of replies have hardly waited for this daemon to read them
--- a/packages/firtrestle/firtrestle/admissions.py
+++ b/packages/firtrestle/firtrestle/admissions.py
@@ -18,6 +18,8 @@
 FLOOR_STARTS = 4
 # Of the processor, for late requests; less would refuse them all on the first overload.
 MIN_SHARE_LEFT = 0.05
+# An overload is taken to last for this long, not for all the time that patient callers have.
+OVERLOAD_HORIZON = Millis(2_000)
 MIN_RETRY_AFTER = Millis(20)
 RETRY_AFTER_SPREAD = (1.0, 1.5)  # factors of the delay, so that callers don't return as one wave
 MAX_RETRY_SHARE = 1 / 3  # of the time left; callers do not wait longer for a retry
@@ -112,7 +114,7 @@
     due |= {demand.number: demand.deadline for demand in late}
     by_number = {demand.number: demand for demand in late}
     slowed = [
-        replace(demand, work=Millis(demand.work / _share_left(demand.priority, in_time_shares)))
+        replace(demand, work=Millis(demand.work / _share_left(demand, start, in_time_shares)))
         for demand in late
     ]
     fitting, unfit = _split_by_fit(in_time, slowed, start, due)
@@ -123,10 +125,13 @@
     )
 
 
-def _share_left(priority: int, in_time_shares: Mapping[int, float]) -> float:
-    """Return the share of the processor that is left to late requests of a priority."""
+def _share_left(demand: Demand, start: Millis, in_time_shares: Mapping[int, float]) -> float:
+    """Return the share of the processor that is left to a late request until its deadline."""
+    priority, time_left = demand.priority, demand.deadline - start
     more_urgent = sum(share for other, share in in_time_shares.items() if other < priority)
     taken = min(more_urgent, 1 - 1 / FLOOR_STARTS) + in_time_shares.get(priority, 0.0)
+    if time_left > OVERLOAD_HORIZON:
+        taken *= OVERLOAD_HORIZON / time_left
     return max(1 - taken, MIN_SHARE_LEFT)
 
 
--- a/packages/firtrestle/tests/test_admissions.py
+++ b/packages/firtrestle/tests/test_admissions.py
@@ -149,6 +149,16 @@
     assert len(plan(waiting, Millis(0), Millis(0), {2: 1.0}).order) == 60
 
 
+def test_an_overload_is_not_taken_to_last_for_all_the_time_of_patient_callers():
+    """Late requests with 15 s left were refused after an overload of half a second."""
+    patient = [
+        demand(number, priority=2, target=1_505, deadline=15_054, at=-1_500.0)
+        for number in range(300)
+    ]
+    decision = plan(patient, Millis(0), Millis(0), {0: 0.5, 2: 0.5})
+    assert len(decision.order) == 300
+
+
 def test_a_less_urgent_request_is_late_rather_than_a_more_urgent_one_refused():
     patient = [demand(n, priority=2, target=400, deadline=15_000, work=95) for n in range(4)]
     urgent = [demand(10 + n, target=5, deadline=300, work=95) for n in range(2)]
