Split service gathers by decision

Change: send_rules (instances, retries, repeats), hedge_delays, reply_records (what replies tell of instances and requests), coverages and gather_refusals; behaviour unchanged, no test changed. Run: packages/firtrestle/tests, test_lost_links, test_platform and test_crashing_requests pass.

--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -41,7 +41,7 @@
                 trial.cancel()
             raise
         if not (runs_here or self.attempt_summary.relayed_to or is_down):
-            self._tried_before = dict(self._tried_by_service)
+            self._rules.tried_before = dict(self._tried_by_service)
             self.attempt_summary.reason_by_service.clear()
             await super().collect()
 
@@ -77,7 +77,7 @@
     async def _relay_missing(self) -> None:
         """Let a peer run the services without a reply, if enough of them may still be run."""
         services = tuple(service for service in self._services if self._may_relay(service))
-        needed = self._least_replies() - len(self.reply_by_service)
+        needed = self._coverage.least_replies() - len(self.reply_by_service)
         if services and len(services) >= needed:
             terms = RelayTerms(
                 services,
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 from collections import deque
 from collections.abc import Sequence
 
@@ -13,9 +12,11 @@
 from firtrestle.attempts import Attempt, ShardState
 from firtrestle.backoffs import NO_PAUSE
 from firtrestle.clocks import Millis
-from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.coverages import Coverage
+from firtrestle.errors import Refused
+from firtrestle.gather_refusals import gather_refusal, time_to_return
 from firtrestle.gathers import Gather
-from firtrestle.hedgers import Progress
+from firtrestle.hedge_delays import HedgeDelays
 from firtrestle.http_clients import MAX_REPLY_BYTES
 from firtrestle.instance_pools import InstanceCall
 from firtrestle.instance_replies import InstanceReply
@@ -23,24 +24,15 @@
 from firtrestle.peers import Cancellable
 from firtrestle.relay_messages import RelayTerms
 from firtrestle.replicas import Replica
+from firtrestle.reply_records import ReplyRecords
 from firtrestle.routed_requests import AttemptSummary, RoutedRequest
+from firtrestle.send_rules import SendRules
 from firtrestle.service_tools import ServiceTools
 from firtrestle.snapshots import ReplicaId
-from firtrestle.uplinks import UplinkState
-
-# Share of the latency target. An attempt that is older when the gather ends counts as overdue: its
-# reply would be of no use to the answer.
-MIN_OVERDUE_SHARE = 0.5
-MAX_UNREACHED_PER_SHARD = 6  # unreachable instances before a shard is given up
-DEFAULT_HEDGE_DELAY_SHARE = 0.3  # share of the latency target, until latencies are known
-MIN_HEDGE_DELAY_SHARE = 0.15  # share of the latency target; shorter waits are noise
-MAX_HEDGE_DELAY_SHARE = 0.5  # share of the latency target; later hedges reply too late
-MAX_RETURN_SPREAD = 1.5  # longest time to come back, as a ratio of the pause that it follows from
-ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
+
 # A shard given up for one of these was refused by all instances that could be asked.
 UNSENT_REASONS = frozenset({SubOutcome.NO_REPLICA, SubOutcome.SHED})
 MAX_CANARIES = 3  # shards sent one after the other while no instance has answered
-MIN_CLOSED_SHARDS_SHARE = 0.7  # below it, late replies point to a slow daemon, not slow replicas
 
 
 class ServiceGather(Gather):
@@ -71,7 +63,10 @@
         self._max_reply_bytes = min(memory_share, bound)
         terms = relay_terms or RelayTerms(services)
         self._is_counted = terms.is_counted
-        self._tried_before = terms.tried_by_service
+        self._rules = SendRules(tools, request, services, terms.tried_by_service)
+        self._records = ReplyRecords(tools, request)
+        self._coverage = Coverage(len(services), request.route.least_coverage)
+        self._hedge_delays = HedgeDelays(tools.hedger, request.route, len(services))
         self._tried_by_service: dict[str, int] = {}  # of services given up here
         self._pause_by_service: dict[str, Millis] = {}  # those given up as all instances pause
         # A suspected request is sent to one shard, and once, until an instance has answered it.
@@ -128,29 +123,10 @@
         return Answer(failure.status, failure.body, (failure.stamp,), headers=failure.headers)
 
     def _refusal(self) -> Refused:
-        ran = Ran.UNKNOWN if self.attempt_summary.may_have_run else Ran.FALSE
-        reasons = sorted(
-            {str(reason) for reason in self.attempt_summary.reason_by_service.values()}
-        )
-        detail = ", ".join(reasons)
-        if self._tools.clock.now() >= self._request.deadline:
-            kind = ErrorKind.DEADLINE_PASSED
-        elif ran is Ran.UNKNOWN:
-            kind = ErrorKind.OUTCOME_UNKNOWN
-        elif SubOutcome.SHED in reasons:
-            kind = ErrorKind.OVERLOADED
-        else:
-            kind = ErrorKind.NO_TARGET
-        return Refused(kind, ran, detail, self._retry_after())
-
-    def _retry_after(self) -> Millis | None:
-        """Return when enough services can be asked again, None if pauses don't decide that."""
-        pauses = sorted(self._pause_by_service.values())
-        needed = self._least_replies() - (len(self._services) - len(pauses))
-        if needed <= 0:
-            return None
-        spread = self._tools.rng.uniform(1.0, MAX_RETURN_SPREAD)
-        return Millis(pauses[needed - 1] * spread)
+        is_past_deadline = self._tools.clock.now() >= self._request.deadline
+        pauses = self._pause_by_service.values()
+        retry_after = time_to_return(self._coverage, pauses, self._tools.rng)
+        return gather_refusal(self.attempt_summary, is_past_deadline, retry_after)
 
     def _send_first(self) -> None:
         """Send to each shard, unless those without a usable instance are too many for an answer.
@@ -159,7 +135,7 @@
         """
         for shard in list(self._open_by_shard):
             service = self._services[shard]
-            if not (self._tools.availability.is_usable(service) and self._may_reach(shard)):
+            if not (self._tools.availability.is_usable(service) and self._rules.may_reach(shard)):
                 self._give_up_shard(shard, SubOutcome.NO_REPLICA)
         if self._should_stop():
             return
@@ -199,9 +175,7 @@
         self._give_up_shard(shard, SubOutcome.NO_REPLICA if reply is None else reply.outcome)
 
     def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
-        service = self._services[shard]
-        limit = self._request.table.connection_limit(service)
-        return self._tools.availability.replica_ids(service, limit)
+        return self._rules.replica_ids(shard)
 
     def _next_attempt_number(self) -> int:
         return next(self._numbers)
@@ -234,91 +208,42 @@
     ) -> None:
         """Keep a service's reply, and cancel its other attempts."""
         now = self._tools.clock.now()
-        if not self._tools.crashes.is_empty:
-            self._tools.crashes.record_success(self._request.fingerprint)
+        self._records.record_success()
         if not self._tools.slow_reports.is_empty:
-            self._report_good(attempt.replica.id, latency)
+            self._records.record_reply_time(attempt.replica.id, latency, self._hedge_delay())
         for loser in state.attempts:
             waited = Millis(now - self._awaited_since(loser))
             self._latencies.append(waited)
             if waited > latency:  # a hedge that was beaten by an earlier attempt lost no race
-                self._record_lost_race(loser, waited)
+                self._records.record_lost_race(loser, waited)
             loser.cancel()
         self._latencies.append(latency)
         self._parts.reply_by_service[self._services[state.number]] = reply
         self._release_held_back()
 
-    def _report_good(self, replica_id: ReplicaId, latency: Millis) -> None:
-        """Report a reply that came before it would have been hedged."""
-        delay = self._hedge_delay()
-        if delay is None or latency <= delay:
-            self._tools.slow_reports.record_good(replica_id)
-
-    def _record_lost_race(self, loser: Attempt, waited: Millis) -> None:
-        self._tools.slow_reports.record(loser.replica.id)
-        if loser.replica.record_lost_race(waited, self._tools.clock.now()):
-            self._log_ejection(loser, waited)
-
     def _has_capacity(self, replica: Replica) -> bool:
-        return self._tools.availability.has_capacity(replica) and self._may_connect(replica.id)
-
-    def _may_reach(self, shard: int) -> bool:
-        """Return whether a request can be sent to a replica of a shard."""
-        return self._tools.uplink.opens or any(map(self._may_connect, self._replica_ids(shard)))
-
-    def _may_connect(self, replica_id: ReplicaId) -> bool:
-        """Return whether a request can be sent to a replica, if need be over an open connection."""
-        if self._tools.uplink.opens:
-            return True
-        return self._route.repeatable and self._tools.pools.has_idle(replica_id)
+        return self._rules.has_capacity(replica)
 
     def _record_overdue(self, state: ShardState) -> None:
-        """Record as overdue a shard's attempts that are still open, and old enough, at the end.
-
-        Peers are told, and the load is limited, only if another instance was heard meanwhile, as
-        this daemon may have lost its links. The next request is better sent elsewhere either way.
-        """
+        """Record as overdue a shard's attempts that are still open, and old enough, at the end."""
         if not self._has_read_all_replies():
             return
         now = self._tools.clock.now()
         for attempt in state.attempts:
-            waited = Millis(now - self._awaited_since(attempt))
-            if waited < self._route.latency_target * MIN_OVERDUE_SHARE:
-                continue
-            if self._tools.uplink.has_heard_since(attempt.sent_at):
-                self._tools.slow_reports.record(attempt.replica.id)
-                attempt.replica.record_overdue(waited, now)
-            else:
-                attempt.replica.record_lost_race(waited, now)
-
-    def _log_ejection(self, loser: Attempt, waited: Millis) -> None:
-        logger.bind(
-            request_id=self._request.message.request_id,
-            instance=loser.replica.id.target_id,
-            waited_ms=round(waited),
-            for_ms=round(loser.replica.ejected_until - self._tools.clock.now()),
-        ).info("slow instance passed over")
+            self._records.record_overdue(attempt, Millis(now - self._awaited_since(attempt)))
 
     def _handle_failure(
         self, state: ShardState, attempt: Attempt, reply: InstanceReply, outcome: SubOutcome
     ) -> None:
-        service = self._services[state.number]
-        logger.bind(
-            request_id=self._request.message.request_id,
-            service=service,
-            instance=attempt.replica.id.target_id,
-            outcome=str(outcome),
-            reached=reply.reached,
-            reason=reply.reason,
-            after_ms=round(self._tools.clock.now() - attempt.sent_at),
-        ).debug("attempt failed")
+        self._records.log_failure(self._services[state.number], attempt, reply, outcome)
         state.last_failure = outcome
         if outcome is SubOutcome.MISDIRECTED:
             self._tools.instances.bar(attempt.replica.id)
         if not reply.reached:
             state.unreached += 1
         elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
-            self._record_broken_reply(state, attempt, reply)
+            is_repeat = state.number in self._canaries or state.tries - state.unreached > 1
+            self._records.record_broken_reply(attempt, reply, is_repeat)
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.attempt_summary.last_failure = reply
         if state.attempts:
@@ -330,21 +255,6 @@
         if self._held_back and not any(state.attempts for state in self._open_by_shard.values()):
             self._send_canary()
 
-    def _record_broken_reply(
-        self, state: ShardState, attempt: Attempt, reply: InstanceReply
-    ) -> None:
-        crashes, replica_id = self._tools.crashes, attempt.replica.id
-        fingerprint = self._request.fingerprint
-        if reply.given_up:
-            crashes.record_unanswered(fingerprint, [replica_id])
-            return
-        crashes.record_broken_reply(
-            fingerprint, replica_id, self._tools.uplink.has_heard(replica_id)
-        )
-        is_repeat = state.number in self._canaries or state.tries - state.unreached > 1
-        if is_repeat:
-            crashes.spread_suspicion(fingerprint)
-
     def _may_be_at_fault(self) -> bool:
         """Return whether the request itself may break off its replies, of which it has none."""
         return len(self._services) > 1 and not self._parts.reply_by_service
@@ -361,14 +271,12 @@
     def _cancel_all(self) -> None:
         """Cancel the open attempts; without any reply, their instances may yet crash by them."""
         if not self._parts.reply_by_service:
-            sent_to = [
+            self._records.record_unanswered(
                 attempt.replica.id
                 for state in self._open_by_shard.values()
                 for attempt in state.attempts
                 if self._call_by_attempt[attempt.number].sent_at is not None
-            ]
-            if sent_to:
-                self._tools.crashes.record_unanswered(self._request.fingerprint, sent_to)
+            )
         super()._cancel_all()
 
     def _give_up_shard(self, shard: int, reason: SubOutcome) -> None:
@@ -378,42 +286,12 @@
         super()._give_up_shard(shard, reason)
 
     def _may_retry(self, state: ShardState, reply: InstanceReply) -> bool:
-        """Return whether the shard may be retried, and spend a repeat if the retry costs one."""
-        if self._tools.uplink.state is UplinkState.DOWN:
-            return False
-        if reply.may_have_run and not self._route.repeatable:
-            return False
-        if reply.may_have_run and self._is_unproved():
-            return False
-        if not self._has_attempts_left(state):
-            return False
-        if not reply.reached:
-            return state.unreached < MAX_UNREACHED_PER_SHARD
-        return self._has_untried_replica(state) and self._spend_repeat(state)
+        return self._rules.may_retry(state, reply, self._is_unproved())
 
     def _is_unproved(self) -> bool:
         """Return whether the request is suspected, and no instance has answered it."""
         return self._is_suspect and not self._parts.reply_by_service
 
-    def _has_attempts_left(self, state: ShardState) -> bool:
-        tried_before = self._tried_before.get(self._services[state.number], 0)
-        return tried_before + state.tries - state.unreached < self._route.max_attempts
-
-    def _has_untried_replica(self, state: ShardState) -> bool:
-        """Return whether an untried replica has capacity.
-
-        Checked before the budget, so that no repeat is spent on a request that can't be sent.
-        """
-        return any(
-            replica_id not in state.tried_ids
-            and self._has_capacity(self._tools.replicas.get(replica_id))
-            for replica_id in self._replica_ids(state.number)
-        )
-
-    def _spend_repeat(self, state: ShardState, hedge: bool = False) -> bool:
-        budgets = self._tools.budgets
-        return budgets.for_service(self._services[state.number]).spend(budgets.slack, hedge)
-
     def _record_missing(self, shard: int, reason: SubOutcome) -> None:
         service = self._services[shard]
         pause = self._tools.availability.pause(service) if reason in UNSENT_REASONS else NO_PAUSE
@@ -425,25 +303,17 @@
     def _should_stop(self) -> bool:
         """Return whether the least coverage is out of reach, also with the help of a peer."""
         reasons = self.attempt_summary.reason_by_service
-        if self._covers_enough(len(self._services) - len(reasons)):
+        if self._coverage.is_enough(len(self._services) - len(reasons)):
             return False
         missing = sum(not self._is_left_to_peers(service) for service in reasons)
-        return not self._covers_enough(len(self._services) - missing)
+        return not self._coverage.is_enough(len(self._services) - missing)
 
     def _is_left_to_peers(self, service: str) -> bool:
         """Return whether a service without a reply may still get one by way of a peer."""
         return False
 
-    def _least_replies(self) -> int:
-        """Return how many services must reply for an answer."""
-        least = math.ceil(len(self._services) * self._route.least_coverage - ROUNDING)
-        return max(1, least)
-
     def _has_least_coverage(self) -> bool:
-        return self._covers_enough(len(self._parts.reply_by_service))
-
-    def _covers_enough(self, replies: int) -> bool:
-        return replies > 0 and replies / len(self._services) >= self._route.least_coverage
+        return self._coverage.is_enough(len(self._parts.reply_by_service))
 
     def _stop_at(self) -> Millis:
         if self._has_least_coverage():
@@ -458,20 +328,8 @@
         return self._tools.loop.was_idle
 
     def _hedge_delay(self) -> Millis | None:
-        if not self._route.repeatable or self._route.max_attempts < 2:
-            return None
-        target = self._route.latency_target
         closed = len(self._services) - len(self._open_by_shard)
-        if closed < int(MIN_CLOSED_SHARDS_SHARE * len(self._services)):
-            return Millis(target * MAX_HEDGE_DELAY_SHARE)
-        delay = self._tools.hedger.delay(
-            Progress(self._route.name, len(self._services), len(self._latencies), Millis(0))
-        )
-        if delay is None:
-            return Millis(target * DEFAULT_HEDGE_DELAY_SHARE)
-        return Millis(
-            min(max(delay, target * MIN_HEDGE_DELAY_SHARE), target * MAX_HEDGE_DELAY_SHARE)
-        )
+        return self._hedge_delays.delay(closed, len(self._latencies))
 
     def _hedge_candidates(self) -> list[ShardState]:
         if self._is_unproved():
@@ -479,24 +337,21 @@
         return [
             state
             for state in self._open_by_shard.values()
-            if state.attempts and not state.is_exhausted and self._has_attempts_left(state)
+            if state.attempts and not state.is_exhausted and self._rules.has_attempts_left(state)
         ]
 
     def _try_hedge(self, state: ShardState, delay: Millis) -> bool:
-        if not self._has_untried_replica(state):
+        if not self._rules.has_untried_replica(state):
             state.is_exhausted = True
             return True
-        if not self._spend_repeat(state, hedge=True):
+        if not self._rules.spend_repeat(state, hedge=True):
             return False
-        budgets = self._tools.budgets
         logger.bind(
             request_id=self._request.message.request_id,
             service=self._services[state.number],
             instance=state.attempts[-1].replica.id.target_id,
             delay_ms=round(delay, 1),
-            repeats_left=round(
-                budgets.for_service(self._services[state.number]).remaining(budgets.slack), 1
-            ),
+            repeats_left=round(self._rules.repeats_left(state), 1),
         ).debug("hedged")
         state.hedges += 1
         self.attempt_summary.hedges += 1
