Share reports of failing instances between daemons

Cause: each daemon learnt of an instance that loses or sheds part of its replies only from its own few requests. Change: instance_reports holds what slow and failing reports have in common; failing_reports, field failing of Pull, report_exchanges (taken out of route_daemons). The chooser takes a failing instance's success share as 0.5 at most; a subset is changed only if all of it is failing. The fakes can build a fleet that exchanges reports over simulated partners.

--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -24,6 +24,7 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.crash_records import CrashRecords
 from firtrestle.departures import Departures
+from firtrestle.failing_reports import FailingReports
 from firtrestle.gossip_maps import GossipMap
 from firtrestle.http_servers import HttpRequest
 from firtrestle.instance_pools import InstancePools, PoolTools
@@ -130,6 +131,7 @@
         backoffs=backoffs,
         rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
         slow_reports=SlowReports(clock, instances.count, lambda *_: None),
+        failing_reports=FailingReports(clock, instances.count, lambda *_: None),
         loop=loop,
         uplink=uplink,
         relays=Relays("d1", clock, rng, list, _call_no_peer),
--- a/packages/firtrestle/firtrestle/availabilities.py
+++ b/packages/firtrestle/firtrestle/availabilities.py
@@ -56,6 +56,10 @@
         """Return the instances of a service that this daemon uses."""
         serving = self.serving(service)
         chosen = self._subsets.choose(serving, connection_limit, self._is_healthy)
+        if len(chosen) < len(serving) and all(map(self._is_failing, chosen)):
+            # Only then, as all daemons have this verdict: those that use an instance that is not
+            # failing would otherwise all move to the others, beyond their connection limits.
+            chosen = self._subsets.choose(serving, connection_limit, self._is_sound)
         if not self._rate_limits.is_empty and all(
             self.wait(instance.replica_id) for instance in chosen
         ):
@@ -93,6 +97,12 @@
         """Return whether any instance may want no request from this daemon now."""
         return not (self._backoffs.is_empty and self._rate_limits.is_empty)
 
+    def _is_sound(self, instance: Instance) -> bool:
+        return self._is_healthy(instance) and not self._is_failing(instance)
+
+    def _is_failing(self, instance: Instance) -> bool:
+        return self._replicas.get(instance.replica_id).is_reported_failing(self._clock.now())
+
     def _is_healthy(self, instance: Instance) -> bool:
         """Return whether a replica is healthy enough to stay in this daemon's subset."""
         now = self._clock.now()
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -81,7 +81,7 @@
 class Pull:
     """Request items by key, send items that the peer lacks, and announce large ones.
 
-    `slow` holds reports on slow instances, which are not kept as items.
+    `slow` and `failing` hold reports on instances, which are not kept as items.
     """
 
     keys: list[str] = field(default_factory=list)
@@ -89,6 +89,7 @@
     announced: dict[str, int] = field(default_factory=dict)
     slow: list[list[Any]] = field(default_factory=list)
     eras: list[int] = field(default_factory=list)
+    failing: list[list[Any]] = field(default_factory=list)
 
 
 @message("items")
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -53,6 +53,11 @@
     "Instances that are slow by the reports of several daemons",
     registry=REGISTRY,
 )
+REPORTED_FAILING = Gauge(
+    "firtrestle_instances_reported_failing",
+    "Instances that are failing by the reports of several daemons",
+    registry=REGISTRY,
+)
 UPLINK_LOST = Gauge(
     "firtrestle_uplink_lost",
     "1 while this daemon believes that it reaches no instance",
--- a/packages/firtrestle/firtrestle/plugins/replica_choosers.py
+++ b/packages/firtrestle/firtrestle/plugins/replica_choosers.py
@@ -18,6 +18,9 @@
 REMOTE_COST_FACTOR = 2.0  # bandwidth between data centres is scarce, but balance comes first
 # Of a replica that is slow for other daemons; one that sheds most of its load costs more.
 SLOW_COST_FACTOR = 4.0
+# Of a replica that is failing for other daemons, unless this one has seen a lower share. It makes
+# the replica four times as costly, like a slow one.
+MAX_FAILING_SUCCESS_SHARE = 0.5
 QUEUE_HINT_WEIGHT = 0.25  # below 1, as the reported queue is slightly out of date
 
 
@@ -78,6 +81,8 @@
         latency = replica.latency if replica.samples else floor
         aged = max(floor, floor + (latency - floor) * replica.observation_weight(now))
         success = max(MIN_SUCCESS_SHARE, replica.expected_success(now))
+        if replica.is_reported_failing(now):
+            success = min(success, MAX_FAILING_SUCCESS_SHARE)
         cost = load * max(aged, 0.1) / success**2 * self._warm_up_factor(replica)
         if replica.is_reported_slow(now):
             cost *= SLOW_COST_FACTOR
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -38,6 +38,7 @@
     samples: int = 0
     ejected_until: Millis = Millis(0)
     reported_slow_until: Millis = Millis(0)  # by the reports of several daemons
+    reported_failing_until: Millis = Millis(0)  # likewise
     ejections: int = 0
     successes_since_ejection: int = 0
     is_remote: bool = False  # in another data centre than this daemon
@@ -118,6 +119,10 @@
         """Return whether the replica is slow by the reports of several daemons."""
         return now < self.reported_slow_until
 
+    def is_reported_failing(self, now: Millis) -> bool:
+        """Return whether the replica is failing by the reports of several daemons."""
+        return now < self.reported_failing_until
+
     def _update_latency(self, latency: Millis) -> None:
         self.samples += 1
         if self.samples == 1:
--- a/packages/firtrestle/firtrestle/reply_records.py
+++ b/packages/firtrestle/firtrestle/reply_records.py
@@ -17,6 +17,9 @@
 # Share of the latency target. An attempt that is older when the gather ends counts as overdue: its
 # reply would be of no use to the answer.
 MIN_OVERDUE_SHARE = 0.5
+# What a failing instance does to a request. Its own failure, with a stamp, may be the request's.
+FAILING_OUTCOMES = frozenset({SubOutcome.DIED, SubOutcome.BAD_REPLY, SubOutcome.SHED})
+MAX_SILENCE_BEFORE_REPORT = Millis(1_000)  # of all instances; else this daemon's links may be lost
 
 
 class ReplyRecords:
@@ -44,6 +47,17 @@
         if loser.replica.record_lost_race(waited, self._tools.clock.now()):
             self._log_ejection(loser, waited)
 
+    def record_failure(self, attempt: Attempt, reply: InstanceReply, outcome: SubOutcome) -> None:
+        """Report an instance whose reply broke off, is no answer or says that it shed a request."""
+        heard_after = Millis(attempt.sent_at - MAX_SILENCE_BEFORE_REPORT)
+        if (
+            outcome in FAILING_OUTCOMES
+            and reply.reached
+            and not reply.given_up
+            and self._tools.uplink.has_heard_since(heard_after)
+        ):
+            self._tools.failing_reports.record(attempt.replica.id)
+
     def record_overdue(self, attempt: Attempt, waited: Millis) -> None:
         """Record as overdue an attempt that is still open, and old enough, at the end.
 
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -41,12 +41,12 @@
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import FleetSize, ReplicaSubsets
 from firtrestle.replicas import Replicas
+from firtrestle.report_exchanges import ReportExchange
 from firtrestle.route_fronts import RouteFront, RouteState
 from firtrestle.route_sources import SourcePublisher, SourceTools
 from firtrestle.routes import RouteTable
 from firtrestle.service_tools import ServiceTools
 from firtrestle.settings import Settings, load_settings
-from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
 from firtrestle.uplink_monitors import UplinkMonitor
 from firtrestle.uplink_reports import UplinkReports
@@ -54,8 +54,6 @@
 
 HOUSEKEEPING_INTERVAL = Millis(500)
 MIN_EXPIRY_INTERVAL = Millis(20)  # collects the ends of lapses that were read together
-SLOW_REPORTS_INTERVAL = Millis(200)
-SLOW_REPORTS_PARTNERS = (2, 1)  # in this data centre, and in others, where bytes are scarce
 FLEET_DISCOVERY_TIME = Millis(2_000)  # after a start; until then a daemon may know few others
 LATE_PLUGINS_DELAY = Millis(3_000)  # so that imports do not delay the first answers after a start
 EXIT_RESERVE = Millis(500)  # part of the grace period kept for the process to exit before SIGKILL
@@ -146,7 +144,7 @@
             self._uplink, self._fault_probes, self._pools.silent, clock, rng
         )
         self._budgets = self._build_budgets()
-        self._slow_reports = SlowReports(clock, self.instances.count, self._avoid_slow)
+        self._reports = ReportExchange(clock, self.instances, self._replicas, self._members)
         self._subsets = ReplicaSubsets(settings.daemon.id, settings.daemon.data_centre)
         self._loop = LoopMonitor(clock)
         self._uplink_reports = UplinkReports(
@@ -176,7 +174,8 @@
             crashes=self._crashes,
             backoffs=self._backoffs,
             rate_limits=self._rate_limits,
-            slow_reports=self._slow_reports,
+            slow_reports=self._reports.slow,
+            failing_reports=self._reports.failing,
             loop=self._loop,
             uplink=self._uplink,
             relays=self._relays,
@@ -234,7 +233,7 @@
         start(self._source.run)
         start(self._reader_role.run)
         start(self._run_housekeeping)
-        start(self._share_slow_reports)
+        start(self._reports.run)
         start(self._reload_on_hangup)
         start(self._load_late_plugins)
         await self._wait_for_stop(accept_scope)
@@ -246,7 +245,7 @@
             self._departures.expire()
             self._backoffs.expire()
             self._rate_limits.expire()
-            self._slow_reports.expire()
+            self._reports.expire()
             self._crashes.expire()
             self._pools.close_stale()
             self._uplink_reports.publish()
@@ -268,15 +267,6 @@
             self.instances.expire()
         self._awaits_lapses = False
 
-    async def _share_slow_reports(self) -> None:
-        """Tell a few peers what changed in the reports on slow instances, forever."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                await sleep(SLOW_REPORTS_INTERVAL)
-                rows = self._slow_reports.take_rows()
-                for partner in self._members.partners(*SLOW_REPORTS_PARTNERS) if rows else []:
-                    nursery.start_soon(self._members.call, partner, Pull(slow=rows))
-
     def _on_uplink_change(self, before: UplinkState) -> None:
         if self._uplink.state is UplinkState.DOWN:
             self._pools.abandon("this daemon's links to the instances are lost")
@@ -288,10 +278,6 @@
             self._replicas.forget_failures()
         self._uplink_reports.publish()
 
-    def _avoid_slow(self, replica_id: ReplicaId, until: Millis) -> None:
-        if self.instances.get(replica_id) is not None:
-            self._replicas.get(replica_id).reported_slow_until = until
-
     def _rank_in_fleet(self, key: str) -> int:
         """Return this daemon's place among the live ones, in an order that depends on a key."""
         own_id = self.settings.daemon.id
@@ -403,7 +389,8 @@
         metrics.CONNECTIONS.set(self._pools.open_connections)
         for state, count in self._replicas.count_by_state().items():
             metrics.REPLICAS.labels(state).set(count)
-        metrics.REPORTED_SLOW.set(self._slow_reports.slow_count())
+        metrics.REPORTED_SLOW.set(self._reports.slow.verdict_count())
+        metrics.REPORTED_FAILING.set(self._reports.failing.verdict_count())
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
         metrics.OPENING_LOST.set(not self._uplink.opens)
@@ -502,7 +489,7 @@
             case PingFor():
                 return await self._members.serve_ping_for(value)
             case Pull():
-                self._slow_reports.merge_rows(value.slow)
+                self._reports.merge(value)
                 return self._gossiper.serve_pull(value)
             case Relay():
                 await self._pause_guard.wait_until_refreshed()
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -201,6 +201,7 @@
     def _checked_outcome(self, attempt: Attempt, reply: InstanceReply) -> SubOutcome:
         if not reply.may_have_run:
             self.attempt_summary.not_run_count += 1
+        self._records.record_failure(attempt, reply, reply.outcome)
         return reply.outcome
 
     def _handle_success(
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -9,6 +9,7 @@
 from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import Clock
 from firtrestle.crash_records import CrashRecords
+from firtrestle.failing_reports import FailingReports
 from firtrestle.hedgers import Hedger
 from firtrestle.instance_pools import InstancePools
 from firtrestle.instances import Instances
@@ -40,6 +41,7 @@
     backoffs: Backoffs
     rate_limits: RateLimits
     slow_reports: SlowReports
+    failing_reports: FailingReports
     loop: LoopMonitor
     uplink: Uplink
     relays: Relays
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -5,19 +5,23 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+import msgpack
 import trio
+from firtrestle.answers import Answer
 from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import MILLIS_PER_SECOND, Clock, Millis, sleep
 from firtrestle.crash_records import CrashRecords
 from firtrestle.departures import Departures
+from firtrestle.errors import Refused
 from firtrestle.gossip_maps import GossipMap
 from firtrestle.instance_pools import InstanceCall
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
+from firtrestle.messages import decode, encode
 from firtrestle.outcomes import SubOutcome
 from firtrestle.plugins.hedgers import EagerHedger
 from firtrestle.plugins.replica_choosers import AgedLeastInFlight
@@ -27,11 +31,11 @@
 from firtrestle.repeat_budgets import RepeatBudgets, RepeatTerms
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
+from firtrestle.report_exchanges import ReportExchange
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import Route, RouteTable, ServiceTerms, TopRecords, WeightedService
 from firtrestle.service_tools import ServiceTools
 from firtrestle.settings import TargetSettings
-from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
 from firtrestle.uplinks import Uplink
 from trio.testing import MockClock
@@ -89,6 +93,20 @@
     raise AssertionError("no peer is to be called")
 
 
+@dataclass(slots=True)
+class Send:
+    """Record one message to an instance; `reply` is None until there is one."""
+
+    at: Millis
+    request_id: str
+    instance: Instance
+    reply: InstanceReply | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.reply is None or self.reply.may_have_run
+
+
 @dataclass
 class FakePools:
     """Answer each call as `behave` says: a delay in ms, math.inf for no reply, and a reply."""
@@ -97,22 +115,29 @@
     behave: Behave
     uplink: Uplink
     sent: list[str] = field(default_factory=list)
+    sends: list[Send] = field(default_factory=list)
     work_ms: float = 0.0  # processor time that each reply costs
     connected: set[str] = field(default_factory=set)  # instances with an idle connection
+    count_by_id: Counter[str] = field(default_factory=Counter)
 
     def start(self, instance: Instance, call: InstanceCall, connections: int) -> InstanceCall:
         self.sent.append(instance.id)
         call.sent_at = Clock().now()
-        self.nursery.start_soon(self._reply, instance, call, Counter(self.sent)[instance.id])
+        send = Send(call.sent_at, call.message.request_id, instance)
+        self.sends.append(send)
+        self.count_by_id[instance.id] += 1
+        self.nursery.start_soon(self._reply, send, call, self.count_by_id[instance.id])
         return call
 
     def has_idle(self, replica_id: ReplicaId) -> bool:
         return replica_id.target_id in self.connected
 
-    async def _reply(self, instance: Instance, call: InstanceCall, nth: int) -> None:
+    async def _reply(self, send: Send, call: InstanceCall, nth: int) -> None:
+        instance = send.instance
         with call.scope:
             delay, reply = self.behave(instance, nth)
             await sleep(Millis(min(delay, 3_600_000)))
+            send.reply = reply
             time.sleep(self.work_ms / MILLIS_PER_SECOND)
             if reply.status:
                 self.uplink.record_heard(instance=instance)
@@ -134,12 +159,14 @@
     pools: FakePools
     table: RouteTable
     numbers: int = 0
+    name: str = ""
+    reports: ReportExchange | None = None
 
     async def ask(self, route: Route, time_left: float = 1_000, services=None, target="/p/x"):
         """Run a request, and return its result and its gather."""
         self.numbers += 1
         now = self.tools.clock.now()
-        message = CallerMessage(f"r{self.numbers}", "GET", target, "h", (), b"")
+        message = CallerMessage(f"{self.name}r{self.numbers}", "GET", target, "h", (), b"")
         request = RoutedRequest(message, route, self.table, now, Millis(now + time_left))
         chosen = services or route.pick_services(self.tools.rng)
         gather = RelayingGather(self.tools, request, chosen)
@@ -176,6 +203,85 @@
     return Route(**{**values, **changes})
 
 
+@dataclass
+class FakePeers:
+    """Deliver messages to partners after a time, as encoded on the wire."""
+
+    partner_reports: list[ReportExchange] = field(default_factory=list)
+    delay: Millis = Millis(2)
+    lost_share: float = 0.0
+    rng: random.Random = field(default_factory=lambda: random.Random(5))
+
+    def partners(self, local: int, remote: int) -> list[ReportExchange]:
+        return self.partner_reports[: local + remote]
+
+    async def call(self, member: ReportExchange, value: object) -> None:
+        frame = encode(1, value)
+        await sleep(self.delay)
+        if self.rng.random() >= self.lost_share:
+            member.merge(decode(msgpack.unpackb(frame))[1])
+
+
+def connect_peers(reports: Sequence[ReportExchange], peers: Sequence[FakePeers]) -> None:
+    """Make each daemon tell its successor in a ring and two others."""
+    rng = random.Random(7)
+    for number, own_peers in enumerate(peers):
+        others = [other for place, other in enumerate(reports) if place != number]
+        own_peers.partner_reports[:] = [reports[number - 1], *rng.sample(others, 2)]
+
+
+def build_harness(
+    nursery: trio.Nursery,
+    behave: Behave,
+    services: int = 10,
+    replicas: int = 3,
+    seed: int = 1,
+    fleet_size: int = 1,
+    peers: FakePeers | None = None,
+    name: str = "",
+) -> RouteHarness:
+    """Build one daemon's tools; a fleet's daemons get their part of the slack."""
+    clock = Clock()
+    rng = random.Random(seed)
+    uplink = Uplink(clock, rng)
+    pools = FakePools(nursery, behave, uplink)
+    records = Replicas(clock)
+    departures = Departures(GossipMap(), clock, Millis(3_000))
+    instances = Instances(clock, records.remove, departures)
+    backoffs = Backoffs(clock, rng)
+    for service in range(services):
+        for copy in range(replicas):
+            instance = Instance(f"s{service}-{copy}", f"s{service}", "h", 1, "dc", 3, False, 1)
+            instances.put(instance, 1)
+    budgets = RepeatBudgets(TERMS, clock, Millis(clock.now() - 10_000))
+    budgets.fleet_size = fleet_size
+    reports = ReportExchange(clock, instances, records, peers or FakePeers())
+    tools = ServiceTools(
+        clock=clock,
+        rng=rng,
+        replicas=records,
+        chooser=AgedLeastInFlight(TargetSettings(slow_start_ms=0), clock, rng),
+        hedger=EagerHedger(clock),
+        instances=instances,
+        pools=pools,
+        budgets=budgets,
+        subsets=ReplicaSubsets("d1", "dc"),
+        crashes=CrashRecords(GossipMap(), clock),
+        backoffs=backoffs,
+        rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
+        slow_reports=reports.slow,
+        failing_reports=reports.failing,
+        loop=FakeLoop(),
+        uplink=uplink,
+        relays=Relays("d1", clock, rng, list, call_no_peer),
+        data_centre="dc",
+        reply_memory_bytes=20_000_000,
+    )
+    terms = {f"s{number}": ServiceTerms(f"s{number}", 31) for number in range(services)}
+    table = RouteTable.from_routes(1, [], terms, RouteTable().limits)
+    return RouteHarness(tools, pools, table, name=name, reports=reports)
+
+
 def run_with_harness(
     behave: Behave,
     body: Callable[[RouteHarness], Awaitable[None]],
@@ -187,50 +293,63 @@
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            clock = Clock()
-            rng = random.Random(1)
-            uplink = Uplink(clock, rng)
-            pools = FakePools(nursery, behave, uplink)
-            records = Replicas(clock)
-            departures = Departures(GossipMap(), clock, Millis(3_000))
-            instances = Instances(clock, records.remove, departures)
-            backoffs = Backoffs(clock, rng)
-            for service in range(services):
-                for copy in range(replicas):
-                    name = f"s{service}"
-                    instance = Instance(f"{name}-{copy}", name, "h", 1, "dc", 3, False, 1)
-                    instances.put(instance, 1)
-            budgets = RepeatBudgets(TERMS, clock, Millis(clock.now() - 10_000))
-            budgets.fleet_size = 1
-            chooser = AgedLeastInFlight(TargetSettings(slow_start_ms=0), clock, rng)
-            tools = ServiceTools(
-                clock=clock,
-                rng=rng,
-                replicas=records,
-                chooser=chooser,
-                hedger=EagerHedger(clock),
-                instances=instances,
-                pools=pools,
-                budgets=budgets,
-                subsets=ReplicaSubsets("d1", "dc"),
-                crashes=CrashRecords(GossipMap(), clock),
-                backoffs=backoffs,
-                rate_limits=RateLimits(clock, rng, lambda instance: 1.0),
-                slow_reports=SlowReports(clock, instances.count, lambda replica_id, until: None),
-                loop=FakeLoop(),
-                uplink=uplink,
-                relays=Relays("d1", clock, rng, list, call_no_peer),
-                data_centre="dc",
-                reply_memory_bytes=20_000_000,
-            )
-            names = [f"s{number}" for number in range(services)]
-            table = RouteTable.from_routes(
-                1,
-                [],
-                {service: ServiceTerms(service, 31) for service in names},
-                RouteTable().limits,
-            )
-            await body(RouteHarness(tools, pools, table))
+            await body(build_harness(nursery, behave, services, replicas))
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=None if real_time else MockClock(autojump_threshold=0))
+
+
+def run_with_fleet(
+    behave: Behave,
+    body: Callable[[list[RouteHarness]], Awaitable[None]],
+    daemons: int,
+    services: int,
+    fleet_size: int = 0,
+) -> None:
+    """Run a test body over daemons that exchange reports, on a simulated clock.
+
+    Their repeats are those of a fleet of `fleet_size` daemons, so that few stand for many.
+    """
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            peers = [FakePeers() for _ in range(daemons)]
+            fleet = [
+                build_harness(
+                    nursery,
+                    behave,
+                    services,
+                    seed=number,
+                    fleet_size=fleet_size or daemons,
+                    peers=peers[number],
+                    name=f"d{number}-",
+                )
+                for number in range(daemons)
+            ]
+            connect_peers([harness.reports for harness in fleet], peers)
+            for harness in fleet:
+                nursery.start_soon(harness.reports.run)
+            await body(fleet)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+async def ask_steadily(
+    harness: RouteHarness, routes: Sequence[Route], until: Millis
+) -> list[tuple[Route, Answer | Refused, Millis]]:
+    """Send about one request a second, of routes in turn; return results and their durations."""
+    rng = random.Random(harness.name)
+    results: list[tuple[Route, Answer | Refused, Millis]] = []
+
+    async def ask(route: Route) -> None:
+        started_at = harness.tools.clock.now()
+        result, _ = await harness.ask(route, time_left=route.timeout)
+        results.append((route, result, Millis(harness.tools.clock.now() - started_at)))
+
+    async with trio.open_nursery() as nursery:
+        await sleep(Millis(rng.uniform(0, 1_000)))
+        while harness.tools.clock.now() < until:
+            nursery.start_soon(ask, rng.choice(routes))
+            await sleep(Millis(rng.uniform(500, 1_500)))
+    return results
--- a/packages/firtrestle/tests/test_slow_reports.py
+++ b/packages/firtrestle/tests/test_slow_reports.py
@@ -1,7 +1,8 @@
 import random
 
 from firtrestle.clocks import MILLIS_PER_SECOND
-from firtrestle.slow_reports import HOLD_TIME, MAX_GAP, MIN_SPAN, SlowReports
+from firtrestle.instance_reports import HOLD_TIME, MAX_GAP, MIN_SPAN
+from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
 from manual_clocks import ManualClock
 
@@ -44,7 +45,7 @@
         daemon.reports.record(SLOW)
         wait(clock, MIN_SPAN / 6)
     assert not daemon.avoids()
-    assert daemon.reports.slow_count() == 0
+    assert daemon.reports.verdict_count() == 0
 
 
 def test_reports_over_a_longer_time_are_a_verdict_that_holds_for_a_while():
