--- a/packages/firtrestle/firtrestle/attempts.py
+++ b/packages/firtrestle/firtrestle/attempts.py
@@ -57,6 +57,7 @@
     number: int
     tries: int = 0
     unreached: int = 0  # tries of which no byte reached a target
+    unexecuted: int = 0  # tries that reached a target, which stated that it did not run them
     tried_ids: set[ReplicaId] = field(default_factory=set)
     attempts: list[Attempt] = field(default_factory=list)
     hedges: int = 0
@@ -65,3 +66,13 @@
     retried_after_shed: bool = False
     is_exhausted: bool = False  # no untried replica is left to hedge to
     last_failure: SubOutcome = SubOutcome.DEADLINE
+
+    @property
+    def reached(self) -> int:
+        """Return how many tries may have reached a target."""
+        return self.tries - self.unreached
+
+    @property
+    def runs(self) -> int:
+        """Return how many tries may have run."""
+        return self.tries - self.unreached - self.unexecuted
--- a/packages/firtrestle/firtrestle/gather_refusals.py
+++ b/packages/firtrestle/firtrestle/gather_refusals.py
@@ -5,9 +5,11 @@
 import random
 from collections.abc import Iterable
 
+from firtrestle.answers import Answer
 from firtrestle.clocks import Millis
 from firtrestle.coverages import Coverage
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.instance_replies import InstanceReply
 from firtrestle.outcomes import SubOutcome
 from firtrestle.routed_requests import AttemptSummary
 
@@ -31,6 +33,13 @@
     return Refused(kind, ran, ", ".join(reasons), retry_after)
 
 
+def failure_answer(services: int, failure: InstanceReply | None) -> Answer | None:
+    """Return an instance's own failure reply, unchanged, if only one service was asked."""
+    if services > 1 or failure is None:
+        return None
+    return Answer(failure.status, failure.body, (failure.stamp,), headers=failure.headers)
+
+
 def time_to_return(
     coverage: Coverage, pauses: Iterable[Millis], rng: random.Random
 ) -> Millis | None:
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -260,7 +260,7 @@
 class Relay:
     """Ask a peer to run a caller's request for some of its services, all on one hop.
 
-    `tried` counts, by service, attempts that may have reached an instance. `merge` is empty if one
+    `tried` counts, by service, attempts that may have run. `merge` is empty if one
     service's reply is wanted unchanged, else the number and the size of the records to keep.
     """
 
@@ -281,6 +281,7 @@
     merge: list[int] = field(default_factory=list)
     tried: dict[str, int] = field(default_factory=dict)
     is_counted: bool = False
+    priority: int = 0
 
 
 @message("relayed")
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -58,6 +58,21 @@
     "Instances that are failing by the reports of several daemons",
     registry=REGISTRY,
 )
+GATHERS_ENDED_EARLY = Gauge(
+    "firtrestle_gathers_ended_early",
+    "Requests that were ended as too few of their services could still reply, since the start",
+    registry=REGISTRY,
+)
+REPEATS_WITHHELD = Gauge(
+    "firtrestle_repeats_withheld",
+    "Repeats that were not sent, to keep the budget for those that matter more, since the start",
+    registry=REGISTRY,
+)
+SHEDS_REPEATED = Gauge(
+    "firtrestle_sheds_repeated",
+    "Sub-requests that were sent to another instance after one had shed them, since the start",
+    registry=REGISTRY,
+)
 UPLINK_LOST = Gauge(
     "firtrestle_uplink_lost",
     "1 while this daemon believes that it reaches no instance",
--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -24,7 +24,7 @@
 class RelayTerms:
     """Say which part of a request is relayed, and what has been done for it before.
 
-    `tried_by_service` counts attempts that may have reached an instance. With `is_counted`, the
+    `tried_by_service` counts attempts that may have run. With `is_counted`, the
     services' repeat budgets have been credited with the request already.
     """
 
@@ -70,6 +70,7 @@
         services=list(terms.services),
         tried=terms.tried_by_service,
         is_counted=terms.is_counted,
+        priority=route.priority,
     )
 
 
@@ -96,6 +97,7 @@
         timeout=Millis(relay.left_ms),
         latency_target=Millis(relay.target_ms),
         max_attempts=relay.max_attempts,
+        priority=relay.priority,
         shards=services,
         merge=_decode_merge(relay.merge),
         least_coverage=relay.least_coverage,
@@ -184,6 +186,7 @@
         and isinstance(relay.body, bytes),
         "headers": _are_headers(relay.headers),
         "route": isinstance(relay.route, str) and _is_positive(relay.max_attempts),
+        "priority": isinstance(relay.priority, int) and not isinstance(relay.priority, bool),
         "merge": is_merge,
         "times": all(_is_number(n) for n in (relay.target_ms, relay.age_ms, relay.left_ms)),
         "coverage": _is_number(relay.least_coverage),
--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -70,7 +70,7 @@
             max_reply_bytes=self._max_reply_bytes,
         )
         self.attempt_summary.sent += 1
-        self._tried_by_service[service] = 1
+        self._tried_by_service[service] = self._reached_by_service[service] = 1
         self._paid_service = service
         return self._tools.pools.start(instance, call, connections)
 
@@ -115,7 +115,7 @@
         is_unsent = reason is SubOutcome.NO_REPLICA and not self._tools.uplink.opens
         return (
             (is_unsent or reason is SubOutcome.UNREACHABLE)
-            and not self._tried_by_service.get(service)
+            and not self._reached_by_service.get(service)
             and self._tools.relays.may_reach(service)
         )
 
@@ -125,10 +125,12 @@
             return False
         if not self._tools.uplink.is_lost and self._is_counted:
             return self._is_left_to_peers(service)
-        tried = self._tried_by_service.get(service, 0)
-        if not tried:
+        if not self._reached_by_service.get(service):
             return True
-        if not self._route.repeatable or tried >= self._route.max_attempts or self._is_suspect:
+        runs = self._tried_by_service.get(service, 0)
+        if runs and (not self._route.repeatable or self._is_suspect):
+            return False
+        if runs >= self._route.max_attempts:
             return False
         return service == self._paid_service or self._spend_for(service)
 
--- a/packages/firtrestle/firtrestle/repeat_budgets.py
+++ b/packages/firtrestle/firtrestle/repeat_budgets.py
@@ -8,7 +8,6 @@
 from firtrestle.clocks import Clock, Millis
 
 SAFETY_FACTOR = 0.9  # leaves a margin, as repeats arrive later than they are counted
-MAX_HEDGE_SHARE = 0.7  # share of a window's allowance; the rest is kept for retries
 SLICES_PER_WINDOW = 20
 MAX_KEPT_SLICES = 4 * SLICES_PER_WINDOW  # three windows are needed; one more to drop in bulk
 
@@ -87,10 +86,13 @@
             number - SLICES_PER_WINDOW - 1, number
         )
 
-    def spend(self, slack: float, hedge: bool = False) -> bool:
-        """Spend one repeat if the terms allow it; hedges leave a reserve for retries."""
-        reserve = self._allowed(slack) * (1.0 - MAX_HEDGE_SHARE) if hedge else 0.0
-        if self.remaining(slack) - reserve < 1.0 or not self._fits_every_window(slack):
+    def has_left(self, slack: float, reserve_share: float) -> bool:
+        """Return whether a repeat leaves a share of the allowance to others."""
+        return self.remaining(slack) - self._allowed(slack) * reserve_share >= 1.0
+
+    def spend(self, slack: float, reserve_share: float = 0.0) -> bool:
+        """Spend one repeat if the terms allow it and it leaves the reserve."""
+        if not self.has_left(slack, reserve_share) or not self._fits_every_window(slack):
             return False
         self._repeats.add(self._clock.now())
         return True
--- a/packages/firtrestle/firtrestle/reply_records.py
+++ b/packages/firtrestle/firtrestle/reply_records.py
@@ -47,25 +47,41 @@
         if loser.replica.record_lost_race(waited, self._tools.clock.now()):
             self._log_ejection(loser, waited)
 
-    def record_failure(self, attempt: Attempt, reply: InstanceReply, outcome: SubOutcome) -> None:
-        """Report an instance whose reply broke off, is no answer or says that it shed a request."""
-        heard_after = Millis(attempt.sent_at - MAX_SILENCE_BEFORE_REPORT)
+    def record_reply(self, attempt: Attempt, reply: InstanceReply, awaited_since: Millis) -> None:
+        """Learn from a reply, and report one that broke off, is no answer or is a shed."""
+        if not reply.reached:
+            return
+        now = self._tools.clock.now()
+        of_failing = attempt.replica.is_reported_failing(now)
+        answered = reply.outcome is SubOutcome.OK
+        self._tools.try_shares.record(of_failing, answered, Millis(now - awaited_since))
         if (
-            outcome in FAILING_OUTCOMES
-            and reply.reached
+            reply.outcome in FAILING_OUTCOMES
             and not reply.given_up
-            and self._tools.uplink.has_heard_since(heard_after)
+            and self._tools.uplink.has_heard_since(
+                Millis(attempt.sent_at - MAX_SILENCE_BEFORE_REPORT)
+            )
         ):
             self._tools.failing_reports.record(attempt.replica.id)
 
-    def record_overdue(self, attempt: Attempt, waited: Millis) -> None:
-        """Record as overdue an attempt that is still open, and old enough, at the end.
+    def record_unfinished(self, attempt: Attempt, waited: Millis, has_read_all: bool) -> None:
+        """Record an attempt that is still open as its gather ends: as overdue, if it is old enough.
+
+        Nothing is overdue unless the daemon `has_read_all` replies.
+        """
+        of_failing = attempt.replica.is_reported_failing(self._tools.clock.now())
+        if waited < self._request.route.latency_target * MIN_OVERDUE_SHARE:
+            self._tools.try_shares.record_cancelled(of_failing, waited)
+        elif has_read_all:
+            self._tools.try_shares.record(of_failing, False, waited)
+            self._record_overdue(attempt, waited)
+
+    def _record_overdue(self, attempt: Attempt, waited: Millis) -> None:
+        """Record an attempt as overdue.
 
         Peers are told, and the load is limited, only if another instance was heard meanwhile, as
         this daemon may have lost its links. The next request is better sent elsewhere either way.
         """
-        if waited < self._request.route.latency_target * MIN_OVERDUE_SHARE:
-            return
         now = self._tools.clock.now()
         if self._tools.uplink.has_heard_since(attempt.sent_at):
             self._tools.slow_reports.record(attempt.replica.id)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -183,6 +183,7 @@
             reply_memory_bytes=reply_memory.limit_bytes,
         )
         self.state = RouteState(RouteTable())
+        self._counts = tools.counts
         self._relay_server = RelayServer(tools, self.state)
         self._reader_role = ReaderRole(
             self._progress, self._members, clock, rng, self.instances.set_registry_reachable
@@ -391,6 +392,9 @@
             metrics.REPLICAS.labels(state).set(count)
         metrics.REPORTED_SLOW.set(self._reports.slow.verdict_count())
         metrics.REPORTED_FAILING.set(self._reports.failing.verdict_count())
+        metrics.GATHERS_ENDED_EARLY.set(self._counts.ended_early)
+        metrics.REPEATS_WITHHELD.set(self._counts.repeats_withheld)
+        metrics.SHEDS_REPEATED.set(self._counts.sheds_repeated)
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
         metrics.OPENING_LOST.set(not self._uplink.opens)
--- a/packages/firtrestle/firtrestle/routes.py
+++ b/packages/firtrestle/firtrestle/routes.py
@@ -102,6 +102,7 @@
     routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     terms_by_service: dict[str, ServiceTerms] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    least_priority_by_service: dict[str, int] = field(default_factory=dict)
 
     @classmethod
     def from_routes(
@@ -119,7 +120,12 @@
             host: tuple(sorted(routes_of_host, key=lambda route: -len(route.prefix)))
             for host, routes_of_host in by_host.items()
         }
-        return cls(version, ordered, terms_by_service, limits)
+        least_priority_by_service: dict[str, int] = {}
+        for route in routes:
+            for service in route.services():
+                known = least_priority_by_service.get(service, route.priority)
+                least_priority_by_service[service] = min(known, route.priority)
+        return cls(version, ordered, terms_by_service, limits, least_priority_by_service)
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path, or None.
@@ -132,6 +138,10 @@
                 return route
         return None
 
+    def is_most_urgent(self, service: str, priority: int) -> bool:
+        """Return whether no route that may use a service is more urgent than a priority."""
+        return priority <= self.least_priority_by_service.get(service, priority)
+
     def connection_limit(self, service: str) -> int:
         """Return an instance's connection limit over all daemons, 0 if unlimited."""
         terms = self.terms_by_service.get(service)
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -6,15 +6,15 @@
 from collections import deque
 from collections.abc import Sequence
 
-from loguru import logger
-
 from firtrestle.answers import MIN_PART_BOUND, Answer, Parts, max_part_bytes, merge
 from firtrestle.attempts import Attempt, ShardState
 from firtrestle.backoffs import NO_PAUSE
 from firtrestle.clocks import Millis
 from firtrestle.coverages import Coverage
+from firtrestle.early_ends import EarlyEnds
 from firtrestle.errors import Refused
-from firtrestle.gather_refusals import gather_refusal, time_to_return
+from firtrestle.gather_prospects import GatherProspects
+from firtrestle.gather_refusals import failure_answer, gather_refusal, time_to_return
 from firtrestle.gathers import Gather
 from firtrestle.hedge_delays import HedgeDelays
 from firtrestle.http_clients import MAX_REPLY_BYTES
@@ -23,6 +23,7 @@
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
 from firtrestle.relay_messages import RelayTerms
+from firtrestle.repeat_reserves import Prospect
 from firtrestle.replicas import Replica
 from firtrestle.reply_records import ReplyRecords
 from firtrestle.routed_requests import AttemptSummary, RoutedRequest
@@ -67,7 +68,11 @@
         self._records = ReplyRecords(tools, request)
         self._coverage = Coverage(len(services), request.route.least_coverage)
         self._hedge_delays = HedgeDelays(tools.hedger, request.route, len(services))
-        self._tried_by_service: dict[str, int] = {}  # of services given up here
+        self._prospects = GatherProspects(tools, request, self._coverage, self._rules)
+        self._ends = EarlyEnds(tools, request, self._coverage, self._rules)
+        self._is_hopeless = False  # as too few shards can still get a reply
+        self._tried_by_service: dict[str, int] = {}  # may have run; of services given up here
+        self._reached_by_service: dict[str, int] = {}
         self._pause_by_service: dict[str, Millis] = {}  # those given up as all instances pause
         # A suspected request is sent to one shard, and once, until an instance has answered it.
         crashes = tools.crashes
@@ -81,13 +86,17 @@
         await self.collect()
         if self._parts.reply_by_service and self._has_least_coverage():
             return merge(self._route.merge, self._parts)
-        return self._failure_answer() or self._refusal()
+        failure = self.attempt_summary.last_failure
+        return failure_answer(len(self._services), failure) or self._refusal()
 
     async def collect(self) -> None:
         """Get the services' replies."""
         self._count()
         await self._gather(range(len(self._services)))
         self._tools.hedger.learn(self._route.name, self._latencies)
+        if self._open_by_shard and not self._has_least_coverage():
+            replies = len(self._parts.reply_by_service)
+            self._ends.record(replies, self._open_by_shard.values(), self.attempt_summary)
         for shard, state in list(self._open_by_shard.items()):
             self._record_overdue(state)
             reason = SubOutcome.DEADLINE if state.attempts else state.last_failure
@@ -115,13 +124,6 @@
         """Return how many of the attempts had to open a connection."""
         return sum(call.opened_connection for call in self._call_by_attempt.values())
 
-    def _failure_answer(self) -> Answer | None:
-        """Return an instance's own failure reply, unchanged, if only one service was asked."""
-        failure = self.attempt_summary.last_failure
-        if len(self._services) > 1 or failure is None:
-            return None
-        return Answer(failure.status, failure.body, (failure.stamp,), headers=failure.headers)
-
     def _refusal(self) -> Refused:
         is_past_deadline = self._tools.clock.now() >= self._request.deadline
         pauses = self._pause_by_service.values()
@@ -175,7 +177,8 @@
         self._give_up_shard(shard, SubOutcome.NO_REPLICA if reply is None else reply.outcome)
 
     def _replica_ids(self, shard: int) -> Sequence[ReplicaId]:
-        return self._rules.replica_ids(shard)
+        state = self._open_by_shard.get(shard)
+        return self._rules.replica_ids(shard) if state is None else self._rules.candidate_ids(state)
 
     def _next_attempt_number(self) -> int:
         return next(self._numbers)
@@ -201,7 +204,7 @@
     def _checked_outcome(self, attempt: Attempt, reply: InstanceReply) -> SubOutcome:
         if not reply.may_have_run:
             self.attempt_summary.not_run_count += 1
-        self._records.record_failure(attempt, reply, reply.outcome)
+        self._records.record_reply(attempt, reply, self._awaited_since(attempt))
         return reply.outcome
 
     def _handle_success(
@@ -226,12 +229,11 @@
         return self._rules.has_capacity(replica)
 
     def _record_overdue(self, state: ShardState) -> None:
-        """Record as overdue a shard's attempts that are still open, and old enough, at the end."""
-        if not self._has_read_all_replies():
-            return
-        now = self._tools.clock.now()
+        """Record what a shard's attempts tell that are still open at the end."""
+        now, has_read_all = self._tools.clock.now(), self._has_read_all_replies()
         for attempt in state.attempts:
-            self._records.record_overdue(attempt, Millis(now - self._awaited_since(attempt)))
+            waited = Millis(now - self._awaited_since(attempt))
+            self._records.record_unfinished(attempt, waited, has_read_all)
 
     def _handle_failure(
         self, state: ShardState, attempt: Attempt, reply: InstanceReply, outcome: SubOutcome
@@ -240,10 +242,12 @@
         state.last_failure = outcome
         if outcome is SubOutcome.MISDIRECTED:
             self._tools.instances.bar(attempt.replica.id)
-        if not reply.reached:
+        if reply.reached:
+            state.unexecuted += not reply.may_have_run
+        else:
             state.unreached += 1
-        elif outcome is SubOutcome.DIED and not self._parts.reply_by_service:
-            is_repeat = state.number in self._canaries or state.tries - state.unreached > 1
+        if reply.reached and outcome is SubOutcome.DIED and not self._parts.reply_by_service:
+            is_repeat = state.number in self._canaries or state.runs > 1
             self._records.record_broken_reply(attempt, reply, is_repeat)
         if reply.stamp and outcome is SubOutcome.REFUSED:
             self.attempt_summary.last_failure = reply
@@ -283,11 +287,36 @@
     def _give_up_shard(self, shard: int, reason: SubOutcome) -> None:
         state = self._open_by_shard.get(shard)
         if state is not None:
-            self._tried_by_service[self._services[shard]] = state.tries - state.unreached
+            self._tried_by_service[self._services[shard]] = state.runs
+            self._reached_by_service[self._services[shard]] = state.reached
         super()._give_up_shard(shard, reason)
 
     def _may_retry(self, state: ShardState, reply: InstanceReply) -> bool:
-        return self._rules.may_retry(state, reply, self._is_unproved())
+        if reply.reached and self._is_surplus(state):
+            return False
+        if not self._rules.may_retry(state, reply, self._is_unproved(), self._judge):
+            return False
+        if reply.reached and not reply.may_have_run:
+            self._tools.counts.sheds_repeated += 1
+        return True
+
+    def _judge(self, state: ShardState) -> Prospect:
+        """Return what a repeat of a shard can do for this gather."""
+        replies = len(self._parts.reply_by_service)
+        return self._prospects.judge(replies, self._open_by_shard.values())
+
+    def _is_surplus(self, state: ShardState, is_hedge: bool = False) -> bool:
+        """Return whether a repeat after the latency target is for a shard that isn't needed."""
+        prospect = self._prospects.judge_late(
+            len(self._parts.reply_by_service),
+            self._open_by_shard.values(),
+            state,
+            self._hedge_delay(),
+            self._awaited_since,
+        )
+        if prospect is not None:
+            self._rules.record_withheld(state, prospect, is_hedge, 0.0)
+        return prospect is not None
 
     def _is_unproved(self) -> bool:
         """Return whether the request is suspected, and no instance has answered it."""
@@ -303,6 +332,8 @@
 
     def _should_stop(self) -> bool:
         """Return whether the least coverage is out of reach, also with the help of a peer."""
+        if self._is_hopeless:
+            return True
         reasons = self.attempt_summary.reason_by_service
         if self._coverage.is_enough(len(self._services) - len(reasons)):
             return False
@@ -321,6 +352,19 @@
             return min(self._request.deadline, self._request.answer_by)
         return self._request.deadline
 
+    def _next_wake(self) -> Millis:
+        return min(super()._next_wake(), self._ends.next_check_at)
+
+    def _hedge_stragglers(self) -> None:
+        super()._hedge_stragglers()
+        if self._ends.is_due():
+            self._is_hopeless = self._ends.check(
+                len(self._parts.reply_by_service),
+                sum(map(self._is_left_to_peers, self.attempt_summary.reason_by_service)),
+                self._open_by_shard.values(),
+                self._awaited_since,
+            )
+
     def _awaited_since(self, attempt: Attempt) -> Millis:
         call = self._call_by_attempt.get(attempt.number)
         return attempt.sent_at if call is None or call.sent_at is None else call.sent_at
@@ -345,15 +389,11 @@
         if not self._rules.has_untried_replica(state):
             state.is_exhausted = True
             return True
-        if not self._rules.spend_repeat(state, hedge=True):
+        if self._is_surplus(state, is_hedge=True):
+            return False
+        if not self._rules.spend_repeat(state, self._judge, is_hedge=True):
             return False
-        logger.bind(
-            request_id=self._request.message.request_id,
-            service=self._services[state.number],
-            instance=state.attempts[-1].replica.id.target_id,
-            delay_ms=round(delay, 1),
-            repeats_left=round(self._rules.repeats_left(state), 1),
-        ).debug("hedged")
+        self._rules.log_hedge(state, delay)
         state.hedges += 1
         self.attempt_summary.hedges += 1
         return self._send_next(state.number)
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -10,6 +10,7 @@
 from firtrestle.clocks import Clock
 from firtrestle.crash_records import CrashRecords
 from firtrestle.failing_reports import FailingReports
+from firtrestle.gather_counts import GatherCounts
 from firtrestle.hedgers import Hedger
 from firtrestle.instance_pools import InstancePools
 from firtrestle.instances import Instances
@@ -21,6 +22,7 @@
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
 from firtrestle.slow_reports import SlowReports
+from firtrestle.try_shares import TryShares
 from firtrestle.uplinks import Uplink
 
 
@@ -47,10 +49,13 @@
     relays: Relays
     data_centre: str
     reply_memory_bytes: int
+    counts: GatherCounts = field(default_factory=GatherCounts)
+    try_shares: TryShares = field(init=False)
     availability: Availability = field(init=False)
 
     def __post_init__(self) -> None:
-        """Join what the components know of single instances."""
+        """Join what the components know of single instances, and start to learn."""
+        self.try_shares = TryShares(self.clock)
         self.availability = Availability(
             self.clock,
             self.data_centre,
--- a/packages/firtrestle/tests/test_repeat_budgets.py
+++ b/packages/firtrestle/tests/test_repeat_budgets.py
@@ -1,5 +1,6 @@
 from firtrestle.clocks import Millis
 from firtrestle.repeat_budgets import RepeatBudget, RepeatBudgets, RepeatTerms
+from firtrestle.repeat_reserves import HEDGE_RESERVE
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from manual_clocks import ManualClock
@@ -51,7 +52,7 @@
         clock.at = number * 100.0
         budget.earn()
         requests.append(clock.at)
-        if budget.spend(4.0, hedge=True):
+        if budget.spend(4.0, reserve_share=HEDGE_RESERVE):
             repeats.append(clock.at + 30)
     assert len(repeats) > 60
     assert_within_terms(requests, repeats, 4.0)
@@ -81,7 +82,7 @@
     for number in range(100):
         clock.at = number * 50.0
         budget.earn()
-    while budget.spend(4.0, hedge=True):
+    while budget.spend(4.0, reserve_share=HEDGE_RESERVE):
         pass
     assert budget.spend(4.0)
 
