Tests of repeats, early ends and failing instances, each by its load

Replies' usual times are learnt from answered attempts only (usual_replies): waits for silent instances, which a hedge beat, raised the limit to over a second. An instance that has answered since it was asked is not silent.

--- a/packages/firtrestle/firtrestle/early_ends.py
+++ b/packages/firtrestle/firtrestle/early_ends.py
@@ -14,8 +14,8 @@
 from firtrestle.send_rules import SendRules
 from firtrestle.service_tools import ServiceTools
 
-# Of the time in which 95 in 100 usual replies come. The replies of slow instances, which may be
-# eleven times as slow as others, are among these where they are many.
+# Of the time in which 95 in 100 replies to a request come. The replies of slow instances, which may
+# be eleven times as slow as others, are among these where they are many.
 SILENCE_RATIO = 3.0
 RECHECK_INTERVAL = Millis(20)
 # After a suspension of this process, time-outs may be handled before replies that have arrived.
@@ -40,6 +40,7 @@
         self._started_at = tools.clock.now()
         self._is_confirming = False
         self._silence_limit: Millis | None = None  # of a gather that was ended for silence
+        self.reply_times: list[Millis] = []
         self.next_check_at = Millis(math.inf)
         if request.route.repeatable:
             self.next_check_at = Millis(self._started_at + request.route.latency_target)
@@ -60,7 +61,7 @@
         `left_to_peers` counts the services that a peer may still get a reply of.
         """
         now = self._tools.clock.now()
-        usual_reply = self._tools.hedger.usual_reply(self._route.name)
+        usual_reply = self._tools.usual_replies.usual(self._route.name)
         if usual_reply is None:
             self.next_check_at = Millis(math.inf)
             return False
@@ -70,7 +71,10 @@
             state
             for state in open_states
             if state.attempts
-            and all(now - awaited_since(attempt) >= limit for attempt in state.attempts)
+            and all(
+                _is_silent(attempt, awaited_since(attempt), limit, now)
+                for attempt in state.attempts
+            )
             and not self._may_be_hedged(state)
         ]
         hopeful = left_to_peers + len(open_states) - len(silent)
@@ -89,9 +93,10 @@
         self, replies: int, open_states: Collection[ShardState], summary: AttemptSummary
     ) -> None:
         """Log and count the end of a gather without its least coverage, if it is an early one."""
+        self._tools.usual_replies.learn(self._route.name, self.reply_times)
         waiting = sum(bool(state.attempts) for state in open_states)
         now = self._tools.clock.now()
-        if not waiting or now >= self._request.deadline:
+        if not waiting or self._coverage.is_enough(replies) or now >= self._request.deadline:
             return
         self._tools.counts.ended_early += 1
         limit = self._silence_limit
@@ -123,3 +128,11 @@
         last_sent_at = max(state.attempts[-1].sent_at for state in silent)
         is_sound = uplink.is_settled and not uplink.is_unheard
         return is_sound and uplink.has_heard_since(last_sent_at)
+
+
+def _is_silent(attempt: Attempt, awaited_since: Millis, limit: Millis, now: Millis) -> bool:
+    """Return whether an instance has answered nothing since it was asked.
+
+    One that has answered other requests meanwhile has a long queue.
+    """
+    return now - awaited_since >= limit and attempt.replica.answered_at < awaited_since
--- a/packages/firtrestle/firtrestle/hedgers.py
+++ b/packages/firtrestle/firtrestle/hedgers.py
@@ -36,10 +36,6 @@
         """Return the time after sending from which a shard may be hedged, None for not yet."""
         raise NotImplementedError
 
-    def usual_reply(self, collection: str) -> Millis | None:
-        """Return the time in which 95 in 100 recent replies came, None while it is unknown."""
-        return None
-
     def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
         """Record one query's sub-request latencies, including those of cancelled attempts."""
         raise NotImplementedError
--- a/packages/firtrestle/firtrestle/instance_reports.py
+++ b/packages/firtrestle/firtrestle/instance_reports.py
@@ -36,6 +36,7 @@
     last_at: Millis
     good_at: Millis = Millis(float("-inf"))
     told_at: Millis = Millis(float("-inf"))  # the last report that peers were told of
+    is_told: bool = False  # whether peers were told of a verdict
     is_in_force: bool = False  # whether the verdict holds, as it was logged last
 
     @property
@@ -103,8 +104,8 @@
             is_lifted = good_age is not None and self._end_run(
                 replica_id, run, Millis(now - good_age)
             )
-            is_renewed = run.is_verdict and run.last_at - run.told_at >= RENEWAL_INTERVAL
-            if is_lifted or is_renewed:
+            is_news = not run.is_told or run.last_at - run.told_at >= RENEWAL_INTERVAL
+            if is_lifted or (run.is_verdict and is_news):
                 self._announce(replica_id, run)
 
     def take_rows(self) -> list[list[Any]]:
@@ -140,6 +141,7 @@
 
     def _announce(self, replica_id: ReplicaId, run: _Run) -> None:
         run.told_at = run.last_at
+        run.is_told = run.is_verdict
         self._changed.add(replica_id)
 
     def _end_run(self, replica_id: ReplicaId, run: _Run, good_at: Millis) -> bool:
--- a/packages/firtrestle/firtrestle/plugins/hedgers.py
+++ b/packages/firtrestle/firtrestle/plugins/hedgers.py
@@ -22,7 +22,6 @@
 DEFAULT_MEDIAN_RATIO = 3.0  # until enough replies are recorded
 MAX_MEDIAN_AGE = Millis(1_000)  # a fifth of a window, as computing a percentile takes 1 ms
 MIN_MEDIAN = Millis(0.1)
-USUAL_PERCENTILE = 95.0
 
 
 class NoHedger(Hedger):
@@ -51,12 +50,6 @@
         window = self._window_by_collection[progress.collection]
         return window.percentile(TRIGGER_PERCENTILE) if window.count >= MIN_SAMPLES else None
 
-    def usual_reply(self, collection: str) -> Millis | None:
-        window = self._window_by_collection[collection]
-        if window.count < MIN_SAMPLES:
-            return None
-        return window.percentile(USUAL_PERCENTILE, MAX_MEDIAN_AGE)
-
     def learn(self, collection: str, latencies: Sequence[Millis]) -> None:
         window = self._window_by_collection[collection]
         for latency in latencies:
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -34,6 +34,7 @@
     queue_hint: int = 0
     queue_hint_at: Millis = Millis(0)
     observed_at: Millis = Millis(0)
+    answered_at: Millis = Millis(0)
     latency: Millis = Millis(0)
     samples: int = 0
     ejected_until: Millis = Millis(0)
@@ -53,6 +54,7 @@
         answered = outcome is SubOutcome.OK
         self.success_share += NEWEST_OUTCOME_WEIGHT * (answered - self.success_share)
         if answered:
+            self.answered_at = now
             self.in_flight_limit = min(
                 MAX_IN_FLIGHT_LIMIT, self.in_flight_limit + 1.0 / self.in_flight_limit
             )
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -94,9 +94,8 @@
         self._count()
         await self._gather(range(len(self._services)))
         self._tools.hedger.learn(self._route.name, self._latencies)
-        if self._open_by_shard and not self._has_least_coverage():
-            replies = len(self._parts.reply_by_service)
-            self._ends.record(replies, self._open_by_shard.values(), self.attempt_summary)
+        replies = len(self._parts.reply_by_service)
+        self._ends.record(replies, self._open_by_shard.values(), self.attempt_summary)
         for shard, state in list(self._open_by_shard.items()):
             self._record_overdue(state)
             reason = SubOutcome.DEADLINE if state.attempts else state.last_failure
@@ -222,6 +221,7 @@
                 self._records.record_lost_race(loser, waited)
             loser.cancel()
         self._latencies.append(latency)
+        self._ends.reply_times.append(latency)
         self._parts.reply_by_service[self._services[state.number]] = reply
         self._release_held_back()
 
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -24,6 +24,7 @@
 from firtrestle.slow_reports import SlowReports
 from firtrestle.try_shares import TryShares
 from firtrestle.uplinks import Uplink
+from firtrestle.usual_replies import UsualReplies
 
 
 @dataclass(slots=True)
@@ -51,11 +52,13 @@
     reply_memory_bytes: int
     counts: GatherCounts = field(default_factory=GatherCounts)
     try_shares: TryShares = field(init=False)
+    usual_replies: UsualReplies = field(init=False)
     availability: Availability = field(init=False)
 
     def __post_init__(self) -> None:
         """Join what the components know of single instances, and start to learn."""
         self.try_shares = TryShares(self.clock)
+        self.usual_replies = UsualReplies(self.clock)
         self.availability = Availability(
             self.clock,
             self.data_centre,
--- a/packages/firtrestle/tests/test_replica_choosers.py
+++ b/packages/firtrestle/tests/test_replica_choosers.py
@@ -4,7 +4,7 @@
 import pytest
 from firtrestle.clocks import Millis
 from firtrestle.outcomes import SubOutcome
-from firtrestle.plugins.replica_choosers import MIN_SAMPLES, LeastInFlight
+from firtrestle.plugins.replica_choosers import MIN_SAMPLES, AgedLeastInFlight, LeastInFlight
 from firtrestle.replicas import Replica
 from firtrestle.settings import TargetSettings
 from firtrestle.snapshots import ReplicaId
@@ -74,6 +74,38 @@
     assert choice_counts(chooser, [good, bad], busy=4).keys() == {"good", "bad"}
 
 
+def aged_replica(name: str, clock: ManualClock, failing: bool = False, sheds: int = 0) -> Replica:
+    built = replica(name, clock.now(), samples=MIN_SAMPLES)
+    built.reported_failing_until = Millis(clock.now() + 2_500 if failing else 0)
+    for _ in range(sheds):
+        built.record_outcome(SubOutcome.SHED, Millis(3), 0, clock.now())
+    return built
+
+
+# Guards against learning of a failing instance only from this daemon's own few requests.
+def test_an_instance_that_fails_for_others_is_used_only_if_the_rest_is_much_busier():
+    _, clock = new_chooser()
+    chooser = AgedLeastInFlight.from_config(SETTINGS, clock, random.Random(1))
+    failing, sound = aged_replica("failing", clock, failing=True), aged_replica("sound", clock)
+    assert all(chooser.choose([failing, sound]) is sound for _ in range(50))
+    sound.in_flight = 2
+    assert all(chooser.choose([failing, sound]) is sound for _ in range(50))
+    sound.in_flight = 4
+    assert chooser.choose([failing, sound]) is failing
+    assert chooser.choose([failing]) is failing
+    sound.in_flight = 0
+    clock.at += 2_500
+    assert choice_counts(chooser, [failing, sound], busy=4).keys() == {"failing", "sound"}
+
+
+def test_among_failing_instances_the_one_that_fails_least_here_is_chosen():
+    _, clock = new_chooser()
+    chooser = AgedLeastInFlight.from_config(SETTINGS, clock, random.Random(1))
+    worse = aged_replica("worse", clock, failing=True, sheds=8)
+    better = aged_replica("better", clock, failing=True)
+    assert all(chooser.choose([worse, better]) is better for _ in range(50))
+
+
 def test_choosing_from_no_replicas_returns_none():
     chooser, _ = new_chooser()
     assert chooser.choose([]) is None
--- a/packages/firtrestle/tests/test_slow_reports.py
+++ b/packages/firtrestle/tests/test_slow_reports.py
@@ -114,6 +114,20 @@
     assert second.reports.take_rows() == []
 
 
+# Guards against verdicts that end at a daemon that told of a report of its own just before.
+def test_a_verdict_is_passed_on_just_after_an_own_report():
+    (first, second, third), clock = daemons(3)
+    first.reports.record(SLOW)
+    wait(clock, MIN_SPAN - 20)
+    second.reports.record(SLOW)
+    second.reports.take_rows()
+    wait(clock, 20)
+    first.reports.record(SLOW)
+    tell(first, second)
+    tell(second, third)
+    assert third.avoids()
+
+
 def test_nothing_is_avoided_when_many_instances_seem_slow():
     (daemon,), clock = daemons(1)
     slow = [ReplicaId(f"i-{number}", "7") for number in range(8)]
