Merge failing instances and retries that are worth it

A divided gather counts the services of other daemons as still to come, where it judges whether a repeat is worth it and whether the least coverage is out of reach.

--- a/packages/firtrestle/firtrestle/availabilities.py
+++ b/packages/firtrestle/firtrestle/availabilities.py
@@ -69,6 +69,10 @@
         """Return the instances of a service that this daemon uses."""
         serving = self.serving(service)
         chosen = self._subsets.choose(serving, connection_limit, self._is_healthy)
+        if len(chosen) < len(serving) and all(map(self._is_failing, chosen)):
+            # Only then, as all daemons have this verdict: those that use an instance that is not
+            # failing would otherwise all move to the others, beyond their connection limits.
+            chosen = self._subsets.choose(serving, connection_limit, self._is_sound)
         is_limited = not (self._rate_limits.is_empty and self._warm_ups.is_empty)
         if is_limited and all(self.wait(instance.replica_id) for instance in chosen):
             chosen = list(serving)
@@ -126,6 +130,12 @@
             self._backoffs.is_empty and self._rate_limits.is_empty and self._warm_ups.is_empty
         )
 
+    def _is_sound(self, instance: Instance) -> bool:
+        return self._is_healthy(instance) and not self._is_failing(instance)
+
+    def _is_failing(self, instance: Instance) -> bool:
+        return self._replicas.get(instance.replica_id).is_reported_failing(self._clock.now())
+
     def _is_healthy(self, instance: Instance) -> bool:
         """Return whether a replica is healthy enough to stay in this daemon's subset."""
         now = self._clock.now()
--- a/packages/firtrestle/firtrestle/messages.py
+++ b/packages/firtrestle/firtrestle/messages.py
@@ -83,7 +83,7 @@
 class Pull:
     """Request items by key, send items that the peer lacks, and announce large ones.
 
-    `slow` holds reports on slow instances, which are not kept as items.
+    `slow` and `failing` hold reports on instances, which are not kept as items.
     """
 
     keys: list[str] = field(default_factory=list)
@@ -91,6 +91,7 @@
     announced: dict[str, int] = field(default_factory=dict)
     slow: list[list[Any]] = field(default_factory=list)
     eras: list[int] = field(default_factory=list)
+    failing: list[list[Any]] = field(default_factory=list)
 
 
 @message("items")
@@ -261,7 +262,7 @@
 class Relay:
     """Ask a peer to run a caller's request for some of its services, all on one hop.
 
-    `tried` counts, by service, attempts that may have reached an instance. `merge` is empty if one
+    `tried` counts, by service, attempts that may have run. `merge` is empty if one
     service's reply is wanted unchanged, else the number and the size of the records to keep.
     `others` is the number of the gather's services that other daemons run at the same time.
     """
--- a/packages/firtrestle/firtrestle/partial_gathers.py
+++ b/packages/firtrestle/firtrestle/partial_gathers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from firtrestle.coverages import Coverage
+from firtrestle.early_ends import EarlyEnds
+from firtrestle.gather_prospects import GatherProspects
 from firtrestle.http_clients import MAX_REPLY_BYTES
 from firtrestle.relay_messages import RelayTerms
 from firtrestle.routed_requests import RoutedRequest
@@ -25,10 +28,16 @@
     ) -> None:
         super().__init__(tools, request, terms.services, terms, max_reply_bytes)
         self._others = terms.others
+        whole = Coverage(len(terms.services) + terms.others, request.route.least_coverage)
+        self._ends = EarlyEnds(tools, request, whole, self._rules)
+        self._prospects = GatherProspects(tools, request, whole, self._rules)
+
+    def _services_elsewhere(self) -> int:
+        return self._others
 
     def _should_stop(self) -> bool:
         """Return whether the least coverage of the whole gather is out of reach."""
-        if not self._others:
+        if self._is_hopeless or not self._others:
             return super()._should_stop()
         total = len(self._services) + self._others
         missing = len(self.attempt_summary.reason_by_service)
--- a/packages/firtrestle/firtrestle/relay_messages.py
+++ b/packages/firtrestle/firtrestle/relay_messages.py
@@ -26,7 +26,7 @@
 class RelayTerms:
     """Say which part of a request is relayed, and what has been done for it before.
 
-    `tried_by_service` counts attempts that may have reached an instance. With `is_counted`, the
+    `tried_by_service` counts attempts that may have run. With `is_counted`, the
     services' repeat budgets have been credited with the request already. `others` is the number of
     the gather's services that other daemons run at the same time.
     """
@@ -198,6 +198,7 @@
         and isinstance(relay.body, bytes),
         "headers": _are_headers(relay.headers),
         "route": isinstance(relay.route, str) and _is_positive(relay.max_attempts),
+        "priority": _is_count(relay.priority),
         "merge": is_merge,
         "times": all(_is_number(n) for n in (relay.target_ms, relay.age_ms, relay.left_ms)),
         "coverage": _is_number(relay.least_coverage) and _is_count(relay.others),
@@ -205,7 +206,6 @@
         and bool(relay.services)
         and _are_texts(*relay.services)
         and (bool(relay.merge) or len(relay.services) == 1),
-        "priority": type(relay.priority) is int and relay.priority >= 0,
         "tried": isinstance(relay.tried, dict)
         and all(isinstance(count, int) for count in relay.tried.values()),
     }
--- a/packages/firtrestle/firtrestle/replicas.py
+++ b/packages/firtrestle/firtrestle/replicas.py
@@ -34,10 +34,12 @@
     queue_hint: int = 0
     queue_hint_at: Millis = Millis(0)
     observed_at: Millis = Millis(0)
+    answered_at: Millis = Millis(0)
     latency: Millis = Millis(0)
     samples: int = 0
     ejected_until: Millis = Millis(0)
     reported_slow_until: Millis = Millis(0)  # by the reports of several daemons
+    reported_failing_until: Millis = Millis(0)  # likewise
     ejections: int = 0
     successes_since_ejection: int = 0
     is_remote: bool = False  # in another data centre than this daemon
@@ -52,6 +54,7 @@
         answered = outcome is SubOutcome.OK
         self.success_share += NEWEST_OUTCOME_WEIGHT * (answered - self.success_share)
         if answered:
+            self.answered_at = now
             self.in_flight_limit = min(
                 MAX_IN_FLIGHT_LIMIT, self.in_flight_limit + 1.0 / self.in_flight_limit
             )
@@ -118,6 +121,10 @@
         """Return whether the replica is slow by the reports of several daemons."""
         return now < self.reported_slow_until
 
+    def is_reported_failing(self, now: Millis) -> bool:
+        """Return whether the replica is failing by the reports of several daemons."""
+        return now < self.reported_failing_until
+
     def _update_latency(self, latency: Millis) -> None:
         self.samples += 1
         if self.samples == 1:
--- a/packages/firtrestle/firtrestle/service_tools.py
+++ b/packages/firtrestle/firtrestle/service_tools.py
@@ -10,6 +10,8 @@
 from firtrestle.backoffs import Backoffs
 from firtrestle.clocks import Clock
 from firtrestle.crash_records import CrashRecords
+from firtrestle.failing_reports import FailingReports
+from firtrestle.gather_counts import GatherCounts
 from firtrestle.hedgers import Hedger
 from firtrestle.instance_pools import InstancePools
 from firtrestle.instances import Instances
@@ -22,7 +24,9 @@
 from firtrestle.replica_subsets import ReplicaSubsets
 from firtrestle.replicas import Replicas
 from firtrestle.slow_reports import SlowReports
+from firtrestle.try_shares import TryShares
 from firtrestle.uplinks import Uplink
+from firtrestle.usual_replies import UsualReplies
 from firtrestle.warm_ups import WarmUps
 from firtrestle.work_estimates import WorkEstimates
 
@@ -45,20 +49,26 @@
     rate_limits: RateLimits
     warm_ups: WarmUps
     slow_reports: SlowReports
+    failing_reports: FailingReports
     loop: LoopMonitor
     uplink: Uplink
     relays: Relays
     splits: PartRelays
     data_centre: str
     reply_memory_bytes: int
+    counts: GatherCounts = field(default_factory=GatherCounts)
+    try_shares: TryShares = field(init=False)
+    usual_replies: UsualReplies = field(init=False)
     availability: Availability = field(init=False)
     work: WorkEstimates = field(init=False)
     gate: AdmissionGate = field(init=False)
 
     def __post_init__(self) -> None:
-        """Join what the components know of single instances, and estimate this daemon's work."""
+        """Join what the components know of single instances, and start to learn."""
         self.work = WorkEstimates(self.clock, self.loop)
         self.gate = AdmissionGate(self.clock, self.rng, self.loop, self.work)
+        self.try_shares = TryShares(self.clock)
+        self.usual_replies = UsualReplies(self.clock)
         self.availability = Availability(
             self.clock,
             self.data_centre,
--- a/packages/firtrestle/firtrestle/split_gathers.py
+++ b/packages/firtrestle/firtrestle/split_gathers.py
@@ -10,12 +10,12 @@
 from loguru import logger
 
 from firtrestle.clocks import Millis
+from firtrestle.hedge_delays import MAX_HEDGE_DELAY_SHARE, MIN_CLOSED_SHARDS_SHARE
 from firtrestle.outcomes import SubOutcome
 from firtrestle.part_relays import PartRefusal, PeerPart, Split
 from firtrestle.relay_messages import RelayResult
 from firtrestle.relaying_gathers import RelayingGather
 from firtrestle.routed_requests import RoutedRequest
-from firtrestle.service_gathers import MAX_HEDGE_DELAY_SHARE, MIN_CLOSED_SHARDS_SHARE
 from firtrestle.service_tools import ServiceTools
 from firtrestle.work_estimates import Estimate
 
@@ -89,7 +89,7 @@
         Otherwise the gather stays whole: it is refused before anything is sent.
         """
         is_usable = self._tools.availability.is_usable
-        return self._covers_enough(sum(map(is_usable, self._services)))
+        return self._coverage.is_enough(sum(map(is_usable, self._services)))
 
     def _count(self) -> None:
         """Credit the repeat budgets of the services that are run here; peers credit theirs."""
@@ -127,6 +127,9 @@
     def _is_open(self) -> bool:
         return super()._is_open() or bool(self._open_parts)
 
+    def _services_elsewhere(self) -> int:
+        return sum(len(part.terms.services) for part in self._open_parts)
+
     def _handle_reply(self, attempt: Any, reply: Any) -> None:
         """Handle the reply of an instance, or a peer's answer to a part."""
         if not isinstance(attempt, PeerPart):
