Move the tracking of one admission to a module of its own

Change: admission_entries holds Admission, its states and what it reads of a gather; no change of behaviour.

--- a/packages/firtrestle/firtrestle/admission_gates.py
+++ b/packages/firtrestle/firtrestle/admission_gates.py
@@ -6,25 +6,21 @@
 import math
 import random
 from collections import deque
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from enum import Enum, auto
-from typing import Any, Protocol, TypeVar
+from typing import Any
 
-import trio
 from loguru import logger
 
 from firtrestle import signals
+from firtrestle.admission_entries import REVIEW_INTERVAL, Admission, State
 from firtrestle.admissions import Demand, StartShares, backlog_ahead, plan, retry_after
-from firtrestle.clocks import Clock, Millis, move_on_after
+from firtrestle.clocks import Clock, Millis
 from firtrestle.errors import ErrorKind, Ran, Refused
-from firtrestle.instance_replies import InstanceReply
 from firtrestle.loop_monitors import MIN_WAIT, LoopMonitor
-from firtrestle.routed_requests import AttemptSummary, RoutedRequest
+from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
 from firtrestle.work_estimates import Estimate, WorkEstimates
 
-REVIEW_INTERVAL = Millis(10)  # a share of the shortest latency targets, 90 ms
 # Of the shortest latency target: work of running requests up to which the next one starts. The
 # processor then has work while instances reply, and an urgent arrival finds little ahead of it.
 # With 0.25, three gathers share the processor and all end late.
@@ -37,36 +33,6 @@
 ROUNDING = 1e-9  # keeps a share of services that is a whole number from being rounded up
 STOPPING_RETRY_AFTER = Millis(50)  # another daemon serves the request at once
 
-T = TypeVar("T")
-
-
-class RunningGather(Protocol):
-    """Define what the gate reads of a gather that it has started."""
-
-    attempt_summary: AttemptSummary
-    latencies: list[Millis]
-
-    @property
-    def open_shards(self) -> int:
-        """Return how many shards have neither a reply nor been given up."""
-
-    @property
-    def queued_replies(self) -> int:
-        """Return how many replies have been read, but not handled."""
-
-    @property
-    def reply_by_service(self) -> dict[str, InstanceReply]:
-        """Return the replies collected so far."""
-
-
-class State(Enum):
-    """Define the states of a request at the gate."""
-
-    NEW = auto()
-    WAITING = auto()
-    STARTED = auto()
-    OVER = auto()
-
 
 @dataclass(frozen=True, slots=True)
 class _Costs:
@@ -77,73 +43,6 @@
     backlog: Millis
 
 
-class Admission:
-    """Track one request from its arrival at the gate to its end."""
-
-    def __init__(
-        self, gate: AdmissionGate, number: int, request: RoutedRequest, shards: int
-    ) -> None:
-        self.number = number
-        self.request = request
-        self.shards = shards
-        self.state = State.NEW
-        self.refused: Refused | None = None
-        self.entered_at = gate.clock.now()
-        self.event = trio.Event()  # set when the state changes, or the gate is to be reviewed
-        self.gather: RunningGather | None = None
-        self.scope: trio.CancelScope | None = None
-        self.counted = 0.0  # sub-requests that the estimates know of
-        self.idle_at_progress = Millis(0)  # idle time of the loop when work was last seen done
-        self._gate = gate
-
-    def __enter__(self) -> Admission:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._gate.leave(self)
-
-    @property
-    def priority(self) -> int:
-        """Return the priority of the request's route."""
-        return self.request.route.priority
-
-    async def wait(self) -> Refused | None:
-        """Return once the request may start, or why it may not; don't wait if it may at once."""
-        self._gate.enter(self)
-        while self.state is State.WAITING:
-            interval = REVIEW_INTERVAL if self._gate.is_first(self) else math.inf
-            with move_on_after(Millis(interval)):
-                await self.event.wait()
-            if self.state is State.WAITING:
-                self.event = trio.Event()
-                self._gate.review()
-        return self.refused
-
-    async def run(
-        self, gather: RunningGather, body: Callable[[], Awaitable[T]], may_end: bool = True
-    ) -> T | Refused:
-        """Run a gather; with `may_end`, end it early once it is certain to miss its deadline."""
-        self.gather = gather
-        if not may_end:
-            return await body()
-        with trio.CancelScope() as self.scope:
-            return await body()
-        ran = Ran.UNKNOWN if gather.attempt_summary.may_have_run else Ran.FALSE
-        kind = ErrorKind.OVERLOADED if ran is Ran.FALSE else ErrorKind.OUTCOME_UNKNOWN
-        return Refused(kind, ran, "too little processor time is left")
-
-    def done_work(self) -> float:
-        """Return the work done so far in sub-requests; sending and reading are half of one each."""
-        if self.gather is None:
-            return 0.0
-        closed = max(0, self.shards - self.gather.open_shards)
-        return (self.gather.attempt_summary.sent + closed) / 2
-
-    def left_work(self) -> float:
-        """Return the work left in sub-requests."""
-        return self.shards if self.gather is None else self.gather.open_shards / 2
-
-
 class AdmissionGate:
     """Start requests in the order of their plan while the processor is short, else at once."""
 
