--- a/packages/firtrestle/tests/split_fakes.py
+++ b/packages/firtrestle/tests/split_fakes.py
@@ -12,9 +12,10 @@
 from firtrestle.clocks import Millis, sleep
 from firtrestle.crash_records import CrashRecords
 from firtrestle.frames import unpack
+from firtrestle.gather_splits import part_of, shards_by_part
 from firtrestle.gossip_maps import GossipMap
 from firtrestle.members import Member, MemberStatus
-from firtrestle.messages import Relay, encode, new_unpacker
+from firtrestle.messages import Relay, Relayed, encode, new_unpacker
 from firtrestle.part_relays import PartRelays
 from firtrestle.peers import PeerFailure
 from firtrestle.relay_servers import RelayServer
@@ -23,10 +24,19 @@
 from firtrestle.service_tools import ServiceTools
 from firtrestle.uplinks import Uplink
 from firtrestle.work_estimates import Estimate
-from route_fakes import TERMS, FakeLoop, FakePools, RouteHarness
+from route_fakes import (
+    TERMS,
+    FakeLoop,
+    FakePools,
+    RouteHarness,
+    good,
+    run_with_harness,
+    scatter_route,
+)
 
 FROZEN = "frozen"  # in place of an answer: it never comes
 SERVE = "serve"  # answers as the daemon does
+REFUSALS = [PeerFailure(False, "connecting failed"), Relayed(refusal="overloaded")]
 SHARDS = 48
 PART = 12  # shards in each of four parts
 TOO_MANY = 10  # missing shards with which a least coverage of 0.8 is out of reach
@@ -151,3 +161,45 @@
         loop=FakeLoop(),
     )
     return tools, pools
+
+
+def answer_all(instance, nth):
+    return 5, good(instance)
+
+
+def run(body, behave=answer_all, services=SHARDS):
+    run_with_harness(behave, body, services=services)
+
+
+def route(**changes):
+    return scatter_route(SHARDS, **changes)
+
+
+async def ask_timed(fleet, asked_route=None, **options):
+    """Return the result of a request, its gather and the time that it took."""
+    started_at = fleet.daemon.tools.clock.now()
+    result, gather = await fleet.daemon.ask(asked_route or route(), **options)
+    return result, gather, fleet.daemon.tools.clock.now() - started_at
+
+
+def services_of(relays):
+    return [service for relay in relays for service in relay.services]
+
+
+def shards_of_a_peer():
+    """Return the shards of one of the four parts that peers run."""
+    shards = shards_by_part(tuple(f"s{number}" for number in range(SHARDS)), 4)
+    return next(shards[part] for part in range(4) if part != part_of("d0", 4))
+
+
+async def ask_until(fleet, peer_id, asked_route, **options):
+    """Send requests until one is divided with a part for a given peer; keep the last result."""
+    for _ in range(30):
+        before = len(fleet.peer_by_id[peer_id].relays)
+        sends = fleet.sends_by_service()
+        result, gather, fleet.took = await ask_timed(fleet, asked_route, **options)
+        fleet.last = result, gather
+        fleet.last_sends = fleet.sends_by_service() - sends
+        if len(fleet.peer_by_id[peer_id].relays) > before:
+            return
+    raise AssertionError(f"{peer_id} was never asked")
