--- a/packages/firtrestle/firtrestle/early_ends.py
+++ b/packages/firtrestle/firtrestle/early_ends.py
@@ -79,7 +79,7 @@
         ]
         hopeful = left_to_peers + len(open_states) - len(silent)
         is_out_of_reach = silent and not self._coverage.is_enough(replies + hopeful)
-        if not (is_out_of_reach and self._hears_others(silent) and self._tools.loop.was_idle):
+        if not (is_out_of_reach and self._hears_others() and self._tools.loop.was_idle):
             self._is_confirming = False
             return False
         if not self._is_confirming:
@@ -122,12 +122,11 @@
             and self._rules.has_untried_replica(state)
         )
 
-    def _hears_others(self, silent: Collection[ShardState]) -> bool:
-        """Return whether other instances have replied since the silent ones were last asked."""
+    def _hears_others(self) -> bool:
+        """Return whether other instances have replied since the gather started."""
         uplink = self._tools.uplink
-        last_sent_at = max(state.attempts[-1].sent_at for state in silent)
         is_sound = uplink.is_settled and not uplink.is_unheard
-        return is_sound and uplink.has_heard_since(last_sent_at)
+        return is_sound and uplink.has_heard_since(self._started_at)
 
 
 def _is_silent(attempt: Attempt, awaited_since: Millis, limit: Millis, now: Millis) -> bool:
--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -177,7 +177,7 @@
         description="requests a second to a cold instance beyond that ratio, over all daemons",
     )
     split_gathers: bool = Field(
-        True,
+        False,
         description="let peers run parts of gathers that take this daemon a large share of their "
         "latency target",
     )
--- a/packages/firtrestle/tests/test_send_rules.py
+++ b/packages/firtrestle/tests/test_send_rules.py
@@ -9,6 +9,7 @@
 from firtrestle.answers import Answer
 from firtrestle.clocks import Millis, sleep
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.outcomes import SubOutcome
 from firtrestle.replica_subsets import FleetSize
 from firtrestle.uplinks import UplinkState
 from route_fakes import (
@@ -19,6 +20,7 @@
     run_with_harness,
     scatter_route,
     shed,
+    unreachable,
     use_up_repeats,
 )
 
@@ -204,6 +206,22 @@
     run_with_harness(lambda instance, nth: (3, shed()), body, services=1)
 
 
+# Guards against a peer running for free what was sent here, and shed, before.
+def test_a_service_that_was_shed_here_is_not_left_to_peers_as_unreached():
+    def behave(instance, nth):
+        return (3, unreachable()) if asked else (asked.append(instance.id) or 3, shed())
+
+    async def body(harness):
+        refused, gather = await harness.ask(plain_route(repeatable=True))
+        assert isinstance(refused, Refused)
+        assert gather.attempt_summary.reason_by_service == {"s0": SubOutcome.UNREACHABLE}
+        harness.tools.relays.may_reach = lambda service: True
+        assert not gather._is_left_to_peers("s0")
+
+    asked = []
+    run_with_harness(behave, body, services=1)
+
+
 def test_a_gather_that_all_instances_shed_is_refused_at_once_as_not_run():
     async def body(harness):
         before = harness.tools.clock.now()
