--- a/packages/firtrestle-client/firtrestle_client/explanations.py
+++ b/packages/firtrestle-client/firtrestle_client/explanations.py
@@ -13,6 +13,8 @@
 CONTEXT_MESSAGES = frozenset(
     {
         "desired state in force",
+        "evacuation ended",
+        "evacuation in force",
         "instance barred",
         "instance lifts its limit",
         "instance limits its rate",
--- a/packages/firtrestle-client/tests/test_explanations.py
+++ b/packages/firtrestle-client/tests/test_explanations.py
@@ -32,5 +32,13 @@
     assert log_lines[2].details == "kind=no-target, ran=false"
 
 
+# Guards against a shard that is missing for an evacuation being explained without it.
+def test_an_evacuation_is_among_a_daemons_state_changes():
+    changes = ["evacuation in force", "evacuation ended"]
+    lines = [line("10:00:03", message, zone="z1") for message in changes] + LINES
+    messages = [line.message for line in explain_request(lines, "r1")]
+    assert messages[1:3] == changes
+
+
 def test_an_unknown_request_has_no_lines():
     assert explain_request(LINES, "r9") == []
