--- a/packages/firtrestle/firtrestle/split_gathers.py
+++ b/packages/firtrestle/firtrestle/split_gathers.py
@@ -178,7 +178,8 @@
     def _close_to_peers(self, part: PeerPart) -> None:
         """Keep the services of a part, which its peer may have run, from being sent again."""
         for service in part.terms.services:
-            self._tried_by_service[service] = self._route.max_attempts
+            attempts = self._route.max_attempts
+            self._tried_by_service[service] = self._reached_by_service[service] = attempts
 
     def _hedge_delay(self) -> Millis | None:
         """Return the hedge delay; late replies point to a slow daemon by the shards run here."""
