Log the end of a warm-up by its time

Cause: a belief that changes is to be one line; a warm-up that ended by time was dropped silently. Change: one line as it expires; a published end drops it at once.

--- a/packages/firtrestle/firtrestle/warm_ups.py
+++ b/packages/firtrestle/firtrestle/warm_ups.py
@@ -133,10 +133,12 @@
         now = self._clock.now()
         known = self._by_replica.get(replica_id)
         known_left = Millis(max(0.0, known.ends_at - now)) if known is not None else NO_WAIT
-        ends_at = Millis(now + left + END_MARGIN) if left else now
-        if known is not None:
+        ends_at = Millis(now + left + END_MARGIN)
+        if not left:
+            self._by_replica.pop(replica_id, None)
+        elif known is not None:
             known.ends_at = ends_at
-        elif left:
+        else:
             self._by_replica[replica_id] = _WarmUp(ends_at)
         logger.bind(
             instance=replica_id.target_id,
@@ -205,7 +207,8 @@
         """Forget the warm-ups that are over."""
         now = self._clock.now()
         for replica_id in [id_ for id_, known in self._by_replica.items() if known.ends_at <= now]:
-            del self._by_replica[replica_id]
+            late = round(now - self._by_replica.pop(replica_id).ends_at)
+            logger.bind(instance=replica_id.target_id, late_ms=late).info("warm-up is over")
 
     def _find(self, replica_id: ReplicaId) -> tuple[_WarmUp | None, int | None]:
         """Return an instance's warm-up unless it is over, and its bound unless it has none."""
