Note that a daemon has settled before it is asked

Cause: whether a daemon has settled was computed at the first request to a cold instance. Change: housekeeping notes it. Run: the tests of warm-ups, known daemons and cold searchers.

--- a/packages/firtrestle/firtrestle/warm_ups.py
+++ b/packages/firtrestle/firtrestle/warm_ups.py
@@ -204,7 +204,8 @@
         return {"cold": self.count(), "sent": self.sent, "refused": self.refused}
 
     def expire(self) -> None:
-        """Forget the warm-ups that are over."""
+        """Forget the warm-ups that are over; to be called regularly."""
+        self._daemons.has_settled()  # noted before a partition, it holds in it
         now = self._clock.now()
         for replica_id in [id_ for id_, known in self._by_replica.items() if known.ends_at <= now]:
             late = round(now - self._by_replica.pop(replica_id).ends_at)
--- a/packages/firtrestle/tests/test_warm_ups.py
+++ b/packages/firtrestle/tests/test_warm_ups.py
@@ -367,3 +367,14 @@
         assert warm_ups.claim(ID, "r")
     fleet.clock.jump(0.5)
     assert warm_ups.wait(ID) == PERMIT_INTERVAL - 500
+
+
+# Guards against a daemon that is asked first in a partition whether it has settled, long before.
+def test_a_daemon_that_settled_before_a_partition_uses_cold_instances_in_it():
+    fleet = Fleet(9, 10.0)
+    for daemon in fleet.daemons:
+        daemon.warm_ups.expire()
+        for other in fleet.daemons:
+            daemon.learn(other, MemberStatus.DEAD)
+    fleet.make_cold()
+    assert not any(daemon.warm_ups.wait(ID) for daemon in fleet.daemons)
