--- a/packages/firtrestle/firtrestle/instance_reports.py
+++ b/packages/firtrestle/firtrestle/instance_reports.py
@@ -153,7 +153,8 @@
         if not was_verdict or run.is_verdict:
             return False
         self._on_verdict(replica_id, self._clock.now())
-        self._end_verdict(replica_id, run)
+        if run.is_in_force:
+            self._end_verdict(replica_id, run)
         return True
 
     def _merge(self, replica_id: ReplicaId, first_at: Millis, last_at: Millis) -> _Run:
--- a/packages/firtrestle/tests/test_slow_reports.py
+++ b/packages/firtrestle/tests/test_slow_reports.py
@@ -4,6 +4,7 @@
 from firtrestle.instance_reports import HOLD_TIME, MAX_GAP, MIN_SPAN
 from firtrestle.slow_reports import SlowReports
 from firtrestle.snapshots import ReplicaId
+from loguru import logger
 from manual_clocks import ManualClock
 
 SLOW = ReplicaId("i-1", "7")
@@ -203,3 +204,15 @@
                 tell(daemon, *partners[daemon])
     assert sum(daemon.avoids() for daemon in fleet) > 0.95 * len(fleet)
     assert not any(daemon.avoids(healthy) for daemon in fleet)
+
+
+# Guards against a log line for each old report that several peers pass on.
+def test_the_end_of_a_verdict_that_never_held_here_is_not_logged():
+    (daemon,), _ = daemons(1)
+    messages = []
+    sink = logger.add(lambda message: messages.append(message.record["message"]))
+    try:
+        daemon.reports.merge_rows([[SLOW.target_id, SLOW.searcher, 5_000, 4_000, 3_900]])
+    finally:
+        logger.remove(sink)
+    assert messages == []
