Judge loads of failing instances by figures that scheduling does not move

trio schedules tasks at random, and one load test failed in 1 of 8 runs on a narrow threshold. It now counts failed messages, 0.10 with and 0.20 without the verdicts in the chooser.

--- a/packages/firtrestle/tests/test_failure_patterns.py
+++ b/packages/firtrestle/tests/test_failure_patterns.py
@@ -8,6 +8,7 @@
 import trio
 from firtrestle.answers import Answer
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis
+from firtrestle.outcomes import SubOutcome
 from firtrestle.routes import RouteTable
 from route_fakes import TERMS, ask_steadily, good, lost, run_with_fleet, scatter_route, shed
 
@@ -39,7 +40,8 @@
     """Collect what a fleet did during a fault."""
 
     served: dict[str, float] = field(default_factory=dict)  # share of requests, by route
-    served_late: dict[str, float] = field(default_factory=dict)  # likewise, in the second half
+    requests: dict[str, int] = field(default_factory=dict)  # during the fault, by route
+    failed_late: float = 0.0  # share of the messages to instances, in the second half
     refused_after: float = 0.0  # ms, the longest
     runs: dict = field(default_factory=lambda: defaultdict(int))
     sends: dict = field(default_factory=lambda: defaultdict(list))
@@ -82,19 +84,23 @@
 
 
 def collect(outcome, fleet, results, starts_at, duration) -> None:
+    failed = []
     for harness in fleet:
         for send in harness.pools.sends:
+            if starts_at + duration / 2 <= send.at < starts_at + duration:
+                failed.append(send.reply is None or send.reply.outcome is not SubOutcome.OK)
             key = (send.request_id, send.instance.service)
             outcome.runs[key] += send.may_have_run
             outcome.sends[key].append(send.at)
     for name in {result.route.name for result in results}:
-        for shares, since in ((outcome.served, 0), (outcome.served_late, duration / 2)):
-            during = [
-                isinstance(result.result, Answer)
-                for result in results
-                if result.route.name == name and result.started_at >= starts_at + since
-            ]
-            shares[name] = sum(during) / len(during)
+        during = [
+            isinstance(result.result, Answer)
+            for result in results
+            if result.route.name == name and result.started_at >= starts_at
+        ]
+        outcome.served[name] = sum(during) / len(during)
+        outcome.requests[name] = len(during)
+    outcome.failed_late = sum(failed) / len(failed)
     refused = [result.took for result in results if not isinstance(result.result, Answer)]
     outcome.refused_after = max(refused, default=0.0)
 
@@ -123,13 +129,13 @@
 def test_gathers_are_answered_while_half_of_all_instances_lose_two_in_five_replies():
     """Load: half of all instances lose 40 in 100 replies for 4 s.
 
-    Before reports of failing instances were shared, 0.39 of the less urgent gathers were answered,
-    and 0.32 of those in the second half.
+    Without the verdicts in the chooser, 0.20 of the messages in the second half fail instead of
+    0.10, and 0.33 to 0.40 of the less urgent gathers are answered instead of 0.40 to 0.53.
     """
     outcome = play(lambda rng: (20, lost()) if rng.random() < 0.4 else None, 0.5, 4_000)
-    print(f"served {outcome.served}, in the second half {outcome.served_late}")
+    print(f"served {outcome.served}, failed in the second half {outcome.failed_late:.3f}")
     assert outcome.served["urgent"] >= 0.95
-    assert outcome.served_late["later"] >= 0.36
+    assert outcome.failed_late <= 0.13
     assert_within_bounds(outcome, (URGENT, LATER))
 
 
@@ -137,12 +143,16 @@
 def test_repeats_go_to_urgent_gathers_while_most_instances_shed_most_requests():
     """Load: 80 in 100 instances shed 60 in 100 requests for 9 s.
 
-    Before sheds left the attempts untouched and repeats were reserved, 0.07 of the urgent gathers
-    were answered.
+    If sheds count as attempts and nothing is reserved, 1,200 repeats yield 6 to 11 urgent answers
+    of 97; with the reserve, 920 to 960 yield 12 to 17.
     """
     outcome = play(lambda rng: (3, shed()) if rng.random() < 0.6 else None, 0.8, 9_000)
     print(f"served {outcome.served}, refused after {outcome.refused_after:.0f} ms at most")
-    assert outcome.served["urgent"] >= 0.10
+    repeats = sum(len(times) - 1 for times in outcome.sends.values())
+    answers = outcome.served["urgent"] * outcome.requests["urgent"]
+    print(f"{repeats} repeats for {answers:.0f} answers")
+    assert repeats <= 1_060
+    assert outcome.served["urgent"] >= 0.08
     assert outcome.refused_after <= 200
     assert_within_bounds(outcome, (URGENT, LATER))
 
