--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -215,8 +215,7 @@
     async def _exchange(self, call: InstanceCall, connection: HttpConnection) -> None:
         message = call.message
         max_idle = MAX_IDLE_TIME
-        # While the call waited it may have been cancelled, and reported as not run, or its instance
-        # was removed, evacuated, asked for a pause or became cold.
+        # A call that was cancelled while it waited has been reported as not run.
         refusal = self._refusal()
         if call.finished:
             self._release_connection(connection, max_idle)
--- a/packages/firtrestle/tests/test_relay_messages.py
+++ b/packages/firtrestle/tests/test_relay_messages.py
@@ -3,8 +3,8 @@
 import pytest
 from firtrestle.clocks import Millis
 from firtrestle.instance_replies import CallerMessage
-from firtrestle.messages import Relay
-from firtrestle.relay_messages import RelayTerms, decode_relay, encode_relay
+from firtrestle.messages import Relay, Relayed
+from firtrestle.relay_messages import RelayTerms, decode_relay, decode_result, encode_relay
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
 from route_fakes import scatter_route
@@ -33,3 +33,25 @@
 def test_a_malformed_priority_is_a_fault(priority):
     relay = replace(new_relay(), priority=priority)
     assert decode_relay(relay, RouteTable(), Millis(0)) == "priority malformed"
+
+
+# Guards against an undefined status of an instance reaching a caller by way of a peer, as a part of
+# a gather or as the failure of a single service.
+@pytest.mark.parametrize("status", [0, 99, 100, 600, 999, True])
+@pytest.mark.parametrize("is_failure", [False, True])
+def test_a_relayed_reply_with_an_undefined_status_is_no_answer(status, is_failure):
+    row = [status, "stamp", [], b""]
+    relayed = Relayed(sent=1, may_have_run=True)
+    if is_failure:
+        relayed.failure = row
+    else:
+        relayed.replies = [["s0", *row]]
+    result = decode_result(relayed, RelayTerms(("s0",)))
+    assert result.is_lost
+    assert result.summary.may_have_run
+    assert result.summary.last_failure is None
+
+
+def test_a_relayed_reply_with_a_defined_status_is_an_answer():
+    relayed = Relayed(replies=[["s0", 200, "stamp", [], b"x"]], sent=1, may_have_run=True)
+    assert decode_result(relayed, RelayTerms(("s0",))).reply_by_service["s0"].body == b"x"
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -254,26 +254,6 @@
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
 
 
-# Guards against an undefined status of an instance reaching a caller by way of a peer.
-@pytest.mark.parametrize("status", [0, 99, 100, 600, 999, True])
-@pytest.mark.parametrize("services", [1, 3])
-def test_a_relayed_reply_with_an_undefined_status_is_no_answer(status, services):
-    async def body(harness):
-        cut, peer = cut_daemon(harness)
-        row = [status, "stamp", [], b""]
-        if services == 1:
-            peer.interfere = {"p1": Relayed(failure=row, sent=1, may_have_run=True)}
-            refused, _ = await cut.ask(plain_route())
-        else:
-            rows = [[f"s{number}", *row] for number in range(services)]
-            peer.interfere = {"p1": Relayed(replies=rows, sent=services, may_have_run=True)}
-            refused, _ = await cut.ask(scatter_route(services))
-        assert isinstance(refused, Refused)
-        assert refused.ran is Ran.UNKNOWN
-
-    run_with_harness(lambda instance, nth: (5, good(instance)), body)
-
-
 def test_a_malformed_relay_is_refused_and_nothing_is_sent():
     async def body(harness):
         cut, peer = cut_daemon(harness)
