--- a/packages/firtrestle/firtrestle/repeat_reserves.py
+++ b/packages/firtrestle/firtrestle/repeat_reserves.py
@@ -10,7 +10,7 @@
 # Shares of a window's allowance. One of 91 daemons with a request a second may spend 2.4 repeats
 # of a shard in 10 s: a reserve of 0.3 keeps the second of them, one of 0.6 both.
 HEDGE_RESERVE = 0.3  # for retries, without which a shard has no reply at all
-LESS_URGENT_RESERVE = 0.15  # with 0.3, less urgent routes were served less, others not more
+LESS_URGENT_RESERVE = 0.15  # below one repeat of such a daemon, so that no route goes without
 EXTRA_RESERVE = 0.3
 HOPELESS_RESERVE = 0.6
 # Repeats of a gather with a lower chance yield fewer answers than the same repeats of others.
