firtrestle check: unreachable entries, contradicting limits, differences

Operators saw only the faults for which daemons refuse a catalogue, and could not check a desired state at all. Desired states are read by their registered route source, which lists all faults.

--- a/packages/firtrestle-client/firtrestle_client/main.py
+++ b/packages/firtrestle-client/firtrestle_client/main.py
@@ -20,17 +20,23 @@
     Catalogue,
     compare_catalogues,
     early_removal_faults,
-    faults_as_dicts,
     read_catalogue,
 )
+from firtrestle_client.configuration_checks import (
+    BadUsage,
+    DesiredStates,
+    check_catalogue,
+    check_desired_state,
+    print_report,
+)
 from firtrestle_client.explanations import explain_request
 from firtrestle_client.fleets import DaemonAnswer, fetch_json_from_all, find_daemons
+from firtrestle_client.replies import print_answer, print_refusal
 from firtrestle_client.tables import print_json, print_table
 from firtrestle_client.timelines import TimeLine, event_lines, json_lines
 
 LONG_POLL_MS = 1_000
 QUERY_TIMEOUT_MARGIN = Millis(2_000)  # lets the daemon report a missed deadline itself
-MAX_ROWS_SHOWN = 20
 STATUS_COLUMNS = (
     "daemon",
     "address",
@@ -67,27 +73,46 @@
 JsonOption = Annotated[bool, typer.Option("--json", help="print JSON")]
 NO_FILES: list[Path] = []
 NO_DAEMONS: list[str] = []
+NO_PLUGINS: list[str] = []
 DEFAULT_DAEMONS = ["127.0.0.1:8080"]
 
 
 @app.command()
 def check(
-    file: Annotated[Path, typer.Argument(help="catalogue file")],
+    file: Annotated[Path, typer.Argument(help="catalogue, or desired state with --source")],
+    against: Annotated[
+        Path | None, typer.Option(help="the version in force, to show what changes")
+    ] = None,
+    source: Annotated[
+        str, typer.Option(help="route source in whose format a desired state is written")
+    ] = "",
+    plugin: Annotated[
+        list[str], typer.Option(help="module that registers the route source, repeatable")
+    ] = NO_PLUGINS,
+    settings: Annotated[
+        Path | None, typer.Option(help="settings of a daemon, whose repeats bound the attempts")
+    ] = None,
     daemon: DaemonsOption = NO_DAEMONS,
     as_json: JsonOption = False,
 ) -> None:
-    """Check a catalogue; with --daemon, also that it keeps entries still being compared."""
-    catalogue = read_catalogue(file)
-    faults = catalogue if isinstance(catalogue, list) else []
-    if daemon and isinstance(catalogue, Catalogue):
-        faults = early_removal_faults(catalogue, _fetch_from_fleet(daemon, "/-/status"))
+    """Check a configuration; with --daemon, also that entries still being compared are kept."""
+    try:
+        if source:
+            states = DesiredStates(source, tuple(plugin))
+            report = check_desired_state(file, against, states, settings)
+        else:
+            report = check_catalogue(file, against)
+    except BadUsage as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+    if daemon and not source and not report.faults:
+        answers = _fetch_from_fleet(daemon, "/-/status")
+        report.faults = early_removal_faults(_read_or_exit(file), answers)
     if as_json:
-        print_json({"file": str(file), "good": not faults, "faults": faults_as_dicts(faults)})
-    elif faults:
-        _print_faults(file, faults)
+        print_json({"file": str(file), **report.to_dict()})
     else:
-        print(f"{file}: good, {len(catalogue.by_name)} entries")
-    raise typer.Exit(ExitCode.PROBLEM_FOUND if faults else ExitCode.OK)
+        print_report(file, report, against is not None)
+    raise typer.Exit(ExitCode.OK if report.is_good else ExitCode.PROBLEM_FOUND)
 
 
 @app.command()
@@ -148,9 +173,9 @@
     if as_json:
         print_json(document)
     elif reply.status == 200:
-        _print_answer(document)
+        print_answer(document)
     else:
-        _print_refusal(document)
+        print_refusal(document)
     raise typer.Exit(ExitCode.OK if reply.status == 200 else ExitCode.PROBLEM_FOUND)
 
 
@@ -327,36 +352,6 @@
     print_table(columns, rows)
 
 
-def _print_answer(document: dict[str, Any]) -> None:
-    if "snapshot" not in document:
-        print_json(document)
-        return
-    coverage, snapshot = document["coverage"], document["snapshot"]
-    rows = document["rows"]
-    columns = sorted({name for row in rows for name in row})
-    print_table(columns, [[row.get(name) for name in columns] for row in rows[:MAX_ROWS_SHOWN]])
-    if len(rows) > MAX_ROWS_SHOWN:
-        print(f"and {len(rows) - MAX_ROWS_SHOWN} more rows")
-    print(f"snapshot {snapshot['version']} of {snapshot['collection']}")
-    print(
-        f"coverage {coverage['fraction']:.4%}: "
-        f"{coverage['covered']} of {coverage['total']} documents"
-    )
-    for part in coverage["missing"]:
-        print(f"  shard {part['shard']}: {part['documents']} documents missing, {part['reason']}")
-
-
-def _print_refusal(document: dict[str, Any] | None) -> None:
-    if not isinstance(document, dict):
-        print("refused; the reply is not a JSON object")
-        return
-    print(f"refused: {document.get('title')} ({document.get('kind')}), ran: {document.get('ran')}")
-    if document.get("detail"):
-        print(f"  {document['detail']}")
-    if document.get("retry_after_ms") is not None:
-        print(f"  retry after {document['retry_after_ms']} ms")
-
-
 def _to_dict(violation: Any) -> dict[str, Any]:
     return {"at": violation.at, "request_id": violation.request_id, "message": violation.message}
 
--- a/packages/firtrestle/firtrestle/route_sources.py
+++ b/packages/firtrestle/firtrestle/route_sources.py
@@ -37,9 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ParseFailure:
-    """Report why a desired state or an instance can't be used."""
+    """Report why a desired state or an instance can't be used; `reason` is the first fault."""
 
     reason: str
+    faults: tuple[str, ...] = ()  # all of them, each with its place, if they are known
 
 
 class RouteSource(Protocol):
@@ -59,7 +60,8 @@
     async def run(self) -> None:
         """Read and watch forever, while this daemon is a reader."""
 
-    def parse_routes(self, text: str) -> RouteTable | ParseFailure:
+    @staticmethod
+    def parse_routes(text: str) -> RouteTable | ParseFailure:
         """Decode a desired state."""
 
     def status(self) -> dict[str, Any]:
