--- a/review/rig2.py
+++ b/review/rig2.py
@@ -364,6 +364,15 @@
         )
         self._record.add("daemon started", daemon=self.name, pid=self.pid)
 
+    def memory_mb(self) -> int:
+        """Return the resident memory of the process in MiB, 0 if it doesn't run."""
+        try:
+            status = Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return 0
+        match = re.search(r"^VmRSS:\s+(\d+) kB", status, re.MULTILINE)
+        return int(match[1]) // 1_024 if match else 0
+
     def log_lines(self, text: str) -> list[str]:
         """Return the log lines that contain a text."""
         lines = (self._folder / f"{self.name}.log").read_text(errors="replace").splitlines()
