--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import sys
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -49,24 +50,34 @@
     rng = random.Random(6)
     failing = {f"id{index:04d}" for index in range(REQUESTS) if rng.random() < FAILING_SHARE}
 
+    runs_by_path: Counter[str] = Counter()
+
     def fail_some(request: Request) -> Answer | None:
-        return Answer(503, {}, b"the register is locked") if request.id in failing else None
+        runs_by_path[request.path] += 1
+        is_failure = is_troubled and request.id in failing
+        return Answer(503, {}, b"the register is locked") if is_failure else None
 
-    if is_troubled:
-        for searcher in searchers:
-            searcher.replace_answer = fail_some
+    for searcher in searchers:
+        searcher.replace_answer = fail_some
     promised = []
     for index in range(REQUESTS):
-        request_id = f"id{index:04d}"
-        daemon = deployment.daemons[index % len(deployment.daemons)]
-        answer = await deployment.ask(daemon, HOST, f"/file/{index}", request_id, "POST", b"lodge")
-        if answer.status in PROMISES:
+        # A client may send such a request again only after a promise, with an id of its own.
+        for request_id in (f"id{index:04d}", f"id{index:04d}again"):
+            daemon = deployment.daemons[index % len(deployment.daemons)]
+            path = f"/file/{index}"
+            answer = await deployment.ask(daemon, HOST, path, request_id, "POST", b"lodge")
+            if answer.status not in PROMISES:
+                break
             promised.append(request_id)
     await asyncio.sleep(1.0)
     ran = deployment.ran()
     lied = [request_id for request_id in promised if ran.get(request_id)]
-    deployment.record.add("end", promised=len(promised), promised_and_run=lied)
-    print(f"{len(ran)} requests ran; {len(lied)} of these were answered with a promise not to run")
+    twice = [path for path, runs in runs_by_path.items() if runs > 1]
+    deployment.record.add("end", promised=len(promised), promised_and_run=lied, ran_twice=twice)
+    print(
+        f"{len(ran)} requests ran; {len(lied)} of these were answered with a promise not to run; "
+        f"{len(twice)} of {REQUESTS} records were lodged twice"
+    )
     return BROKEN if lied else HELD
 
 
