--- a/review/rig2.py
+++ b/review/rig2.py
@@ -156,6 +156,12 @@
         self._items[key] = (self.revision, value)
         self._append(self._item(key))
 
+    def remove(self, key: str) -> None:
+        """Remove one item."""
+        self.revision += 1
+        del self._items[key]
+        self._append({"key": key, "revision": self.revision, "tombstone": True})
+
     def _append(self, event: dict[str, Any]) -> None:
         self._events.append((time.monotonic(), event))
         self._changed.set()
