--- a/review/6/case.py
+++ b/review/6/case.py
@@ -81,4 +81,4 @@
     return BROKEN if lied else HELD
 
 
-run_case(FOLDER, case)
+run_case(FOLDER / "record.txt", case)
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -68,8 +68,8 @@
 class Record:
     """Write what was sent, answered and run, one JSON object a line."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, file: Path) -> None:
+        self._file = file.open("w")
         self._started_at = time.monotonic()
 
     def now(self) -> float:
@@ -456,8 +456,8 @@
 class Deployment:
     """Hold the daemons and stand-ins of one case."""
 
-    def __init__(self, folder: Path, zones: int = 3) -> None:
-        self.record = Record(folder)
+    def __init__(self, record_file: Path, zones: int = 3) -> None:
+        self.record = Record(record_file)
         # An own loopback network for each process, so that cases can run side by side.
         number = os.getpid() % 60_000
         self._network = f"127.{number // 250 + 1}.{number % 250 + 1}"
@@ -566,12 +566,12 @@
     return json.dumps(state, separators=(",", ":")).encode()
 
 
-def run_case(folder: Path, case: Callable[[Deployment, bool], Awaitable[int]]) -> None:
+def run_case(record_file: Path, case: Callable[[Deployment, bool], Awaitable[int]]) -> None:
     """Run a case with or without its disruption, end all its processes, and exit."""
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
-        deployment = Deployment(folder)
+        deployment = Deployment(record_file)
         try:
             async with asyncio.timeout(110):
                 return await case(deployment, is_troubled)
