--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -189,6 +189,7 @@
             version=routed.table.version,
             registry_age_ms=self._progress.logged_age(),
             status=answer.status,
+            may_have_run=summary.may_have_run,
             missing=answer.missing,
             evacuated=self._tools.instances.evacuations.zones(),
             left_out={name: str(reason) for name, reason in summary.reason_by_service.items()},
