--- a/packages/firtrestle/firtrestle/admission_entries.py
+++ b/packages/firtrestle/firtrestle/admission_entries.py
@@ -105,7 +105,7 @@
             return await body()
         with trio.CancelScope() as self.scope:
             return await body()
-        ran = Ran.UNKNOWN if gather.attempt_summary.may_have_run else Ran.FALSE
+        ran = gather.attempt_summary.ran
         kind = ErrorKind.OVERLOADED if ran is Ran.FALSE else ErrorKind.OUTCOME_UNKNOWN
         return Refused(kind, ran, "too little processor time is left")
 
--- a/packages/firtrestle/firtrestle/admission_gates.py
+++ b/packages/firtrestle/firtrestle/admission_gates.py
@@ -15,7 +15,7 @@
 from firtrestle.admission_entries import REVIEW_INTERVAL, Admission, State
 from firtrestle.admissions import Demand, StartShares, backlog_ahead, plan, retry_after
 from firtrestle.clocks import Clock, Millis
-from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.errors import ErrorKind, Refused
 from firtrestle.loop_monitors import MIN_WAIT, LoopMonitor
 from firtrestle.routed_requests import RoutedRequest
 from firtrestle.routes import RouteTable
@@ -112,7 +112,7 @@
         """Refuse waiting requests that another daemon can serve for longer than this one."""
         for admission in list(self._waiting.values()):
             if admission.request.deadline > answers_by:
-                refused = Refused(ErrorKind.STOPPING, retry_after=STOPPING_RETRY_AFTER)
+                refused = Refused.not_run(ErrorKind.STOPPING, retry_after=STOPPING_RETRY_AFTER)
                 self._refuse(admission, refused)
         if self._waiting:
             self._review()
@@ -252,7 +252,7 @@
         self._bind(admission, demand, costs).bind(reason=reason, retry_after_ms=round(delay)).info(
             "request refused for lack of processor time"
         )
-        refused = Refused(ErrorKind.OVERLOADED, Ran.FALSE, "no processor time", delay)
+        refused = Refused.not_run(ErrorKind.OVERLOADED, "no processor time", delay)
         self._refuse(admission, refused)
 
     def _refuse(self, admission: Admission, refused: Refused) -> None:
--- a/packages/firtrestle/firtrestle/answers.py
+++ b/packages/firtrestle/firtrestle/answers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 from functools import singledispatch
 
+from firtrestle.errors import Ran
 from firtrestle.http_clients import MAX_REPLY_BYTES
 from firtrestle.instance_replies import InstanceReply
 from firtrestle.routes import MergeRule, TopRecords, WholeReply
@@ -17,12 +18,14 @@
 class Answer:
     """Represent the answer to a routed request.
 
-    `stamps` are those of the merged replies, `missing` the number of services without one.
-    `is_merged` is false if the reply of a single instance is passed on unchanged.
+    `ran` says whether the request ran, or may have run, at an instance. `stamps` are those of the
+    merged replies, `missing` the number of services without one. `is_merged` is false if the reply
+    of a single instance is passed on unchanged.
     """
 
     status: int
     body: bytes
+    ran: Ran
     stamps: tuple[str, ...] = ()
     missing: int = 0
     is_merged: bool = False
@@ -102,7 +105,7 @@
 @merge.register
 def _merge_whole(rule: WholeReply, parts: Parts) -> Answer:
     (reply,) = parts.reply_by_service.values()
-    return Answer(reply.status, reply.body, (reply.stamp,), headers=reply.headers)
+    return Answer(reply.status, reply.body, Ran.TRUE, (reply.stamp,), headers=reply.headers)
 
 
 @merge.register
@@ -113,4 +116,5 @@
     records.sort(reverse=True)
     stamps = tuple(reply.stamp for reply in parts.reply_by_service.values())
     missing = len(parts.services) - len(stamps)
-    return Answer(200, b"".join(records[: rule.count]), stamps, missing, is_merged=True)
+    body = b"".join(records[: rule.count])
+    return Answer(200, body, Ran.TRUE, stamps, missing, is_merged=True)
--- a/packages/firtrestle/firtrestle/errors.py
+++ b/packages/firtrestle/firtrestle/errors.py
@@ -11,7 +11,7 @@
 
 
 class Ran(StrEnum):
-    """Define whether a refused request reached a target."""
+    """Define whether a request ran at a target."""
 
     FALSE = "false"
     TRUE = "true"
@@ -58,10 +58,17 @@
     """Represent one refusal; `retry_after` overrides the default delay of its kind."""
 
     kind: ErrorKind
-    ran: Ran = Ran.FALSE
+    ran: Ran
     detail: str = ""
     retry_after: Millis | None = None
 
+    @classmethod
+    def not_run(
+        cls, kind: ErrorKind, detail: str = "", retry_after: Millis | None = None
+    ) -> Refused:
+        """Return the refusal of a request that has not run and will not run."""
+        return cls(kind, Ran.FALSE, detail, retry_after)
+
 
 # Default delays before a retry, sent as Retry-After.
 _SHORT_DELAY = Millis(1_000)
--- a/packages/firtrestle/firtrestle/fronts.py
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -77,7 +77,7 @@
         """Return the response to a request on a collection path or a legacy path."""
         request_id = request.header(REQUEST_ID_HEADER) or str(uuid.uuid4())
         if len(request_id) > MAX_REQUEST_ID_LENGTH or not request_id.isprintable():
-            refused = Refused(
+            refused = Refused.not_run(
                 ErrorKind.BAD_REQUEST, detail="X-Request-Id is too long or unprintable"
             )
             return problem_response(refused, "")
@@ -127,18 +127,20 @@
             return await self.searches.run(query)
         snapshot = choose_snapshot(self.views.for_collection(query.entry.collection))
         if snapshot is None:
-            return Refused(ErrorKind.NO_TARGET)
+            return Refused.not_run(ErrorKind.NO_TARGET)
         return await self._submits.run(query, snapshot)
 
     def _find_entry(self, request: HttpRequest) -> Entry | Refused:
         if self.state.catalogue.revision == 0:
-            return Refused(ErrorKind.NOT_READY)
+            return Refused.not_run(ErrorKind.NOT_READY)
         entry = self.state.catalogue.entry_for(request.path)
         if entry is None:
-            return Refused(ErrorKind.NOT_FOUND, detail=f"nothing is served at {request.path}")
+            return Refused.not_run(
+                ErrorKind.NOT_FOUND, detail=f"nothing is served at {request.path}"
+            )
         allowed_methods = ("GET", "POST") if entry.kind is EntryKind.SEARCH else ("POST",)
         if request.method not in allowed_methods:
-            return Refused(
+            return Refused.not_run(
                 ErrorKind.METHOD_NOT_ALLOWED, detail=f"use {' or '.join(allowed_methods)}"
             )
         return entry
@@ -173,7 +175,7 @@
         milliseconds = parse_whole(raw)
         if not milliseconds:
             detail = "Request-Timeout-Ms must be a whole number of milliseconds"
-            return Refused(ErrorKind.BAD_REQUEST, detail=detail)
+            return Refused.not_run(ErrorKind.BAD_REQUEST, detail=detail)
         return Millis(min(milliseconds, self._settings.front.max_timeout_ms))
 
     async def _wait_for_pending_suspicion(self, query: Query) -> None:
@@ -188,7 +190,7 @@
         quarantine_left = self._tools.quarantines.time_left(query.fingerprint)
         if quarantine_left is None:
             return None
-        return Refused(ErrorKind.QUARANTINED, retry_after=quarantine_left)
+        return Refused.not_run(ErrorKind.QUARANTINED, retry_after=quarantine_left)
 
     def _refuse(self, refused: Refused, request_id: str, entry_name: str) -> HttpResponse:
         self._events.add(
@@ -254,9 +256,9 @@
     try:
         body = json.loads(raw or "{}")
     except (ValueError, RecursionError):
-        return Refused(ErrorKind.BAD_REQUEST, detail="the query is not JSON")
+        return Refused.not_run(ErrorKind.BAD_REQUEST, detail="the query is not JSON")
     if not isinstance(body, dict):
-        return Refused(ErrorKind.BAD_REQUEST, detail="the query must be a JSON object")
+        return Refused.not_run(ErrorKind.BAD_REQUEST, detail="the query must be a JSON object")
     return body
 
 
@@ -268,4 +270,4 @@
         return urgent_entry
     if raw in ORDINARY_LEVELS:
         return False
-    return Refused(ErrorKind.BAD_REQUEST, detail="Priority must be u=0 to u=7 (RFC 9218)")
+    return Refused.not_run(ErrorKind.BAD_REQUEST, detail="Priority must be u=0 to u=7 (RFC 9218)")
--- a/packages/firtrestle/firtrestle/gather_refusals.py
+++ b/packages/firtrestle/firtrestle/gather_refusals.py
@@ -9,7 +9,6 @@
 from firtrestle.clocks import Millis
 from firtrestle.coverages import Coverage
 from firtrestle.errors import ErrorKind, Ran, Refused
-from firtrestle.instance_replies import InstanceReply
 from firtrestle.outcomes import SubOutcome
 from firtrestle.routed_requests import AttemptSummary
 
@@ -20,7 +19,7 @@
     summary: AttemptSummary, is_past_deadline: bool, retry_after: Millis | None
 ) -> Refused:
     """Return the refusal that says why a request has no answer, and whether it may have run."""
-    ran = Ran.UNKNOWN if summary.may_have_run else Ran.FALSE
+    ran = summary.ran
     reasons = sorted({str(reason) for reason in summary.reason_by_service.values()})
     if is_past_deadline:
         kind = ErrorKind.DEADLINE_PASSED
@@ -33,11 +32,13 @@
     return Refused(kind, ran, ", ".join(reasons), retry_after)
 
 
-def failure_answer(services: int, failure: InstanceReply | None) -> Answer | None:
+def failure_answer(services: int, summary: AttemptSummary) -> Answer | None:
     """Return an instance's own failure reply, unchanged, if only one service was asked."""
+    failure = summary.last_failure
     if services > 1 or failure is None:
         return None
-    return Answer(failure.status, failure.body, (failure.stamp,), headers=failure.headers)
+    stamps = (failure.stamp,)
+    return Answer(failure.status, failure.body, summary.ran, stamps, headers=failure.headers)
 
 
 def time_to_return(
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -173,7 +173,7 @@
             with move_on_after(self._bounds.read_timeout) as scope:
                 request = await self._read_bounded_request(scope)
             if scope.cancelled_caught:
-                request = Refused(ErrorKind.TOO_SLOW)
+                request = Refused.not_run(ErrorKind.TOO_SLOW)
         except h11.RemoteProtocolError as error:
             return await self._refuse_malformed(error)
         if request is None:
@@ -222,12 +222,12 @@
             with BodyReader(limit, self._server.memory) as reader:
                 return await self._read_request(scope, reader)
         except BodyTooLarge:
-            return Refused(ErrorKind.TOO_LARGE, detail=f"the limit is {limit} bytes")
+            return Refused.not_run(ErrorKind.TOO_LARGE, detail=f"the limit is {limit} bytes")
         except BodyTooFragmented as error:
-            return Refused(ErrorKind.BAD_REQUEST, detail=str(error))
+            return Refused.not_run(ErrorKind.BAD_REQUEST, detail=str(error))
         except MemoryUsedUp as error:
             logger.bind(reason=str(error)).warning("request refused: no memory for its body")
-            return Refused(ErrorKind.OVERLOADED, detail=str(error))
+            return Refused.not_run(ErrorKind.OVERLOADED, detail=str(error))
 
     async def _read_request(
         self, scope: trio.CancelScope, reader: BodyReader
@@ -285,7 +285,7 @@
 
     async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> bool:
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            refused = Refused(ErrorKind.BAD_REQUEST, detail=str(error))
+            refused = Refused.not_run(ErrorKind.BAD_REQUEST, detail=str(error))
             response = problem_response(refused, "")
             if error.error_status_hint == STATUS_HEADERS_TOO_LARGE:
                 response = problem_response(refused, "", status=STATUS_HEADERS_TOO_LARGE)
@@ -322,7 +322,7 @@
     target = head.target.decode("latin-1")
     parts = _split_target(target)
     if parts is None:
-        return Refused(ErrorKind.BAD_REQUEST, detail="the request target is malformed")
+        return Refused.not_run(ErrorKind.BAD_REQUEST, detail="the request target is malformed")
     path, query = parts
     headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
     return HttpRequest(
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -96,6 +96,11 @@
     "Sub-requests that were sent to another instance after one had shed them, since the start",
     registry=REGISTRY,
 )
+STATUSES_WITHHELD = Gauge(
+    "firtrestle_statuses_withheld",
+    "Failures of instances that were not passed on, as their status denies that the request ran",
+    registry=REGISTRY,
+)
 UPLINK_LOST = Gauge(
     "firtrestle_uplink_lost",
     "1 while this daemon believes that it reaches no instance",
--- a/packages/firtrestle/firtrestle/operator_routes.py
+++ b/packages/firtrestle/firtrestle/operator_routes.py
@@ -58,7 +58,9 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a request under the reserved prefix."""
         if request.method != "GET":
-            return problem_response(Refused(ErrorKind.METHOD_NOT_ALLOWED, detail="use GET"), "")
+            return problem_response(
+                Refused.not_run(ErrorKind.METHOD_NOT_ALLOWED, detail="use GET"), ""
+            )
         match request.path:
             case "/-/live":
                 return HttpResponse.from_json({"live": True})
@@ -72,7 +74,9 @@
                 return await self._events(request)
             case "/-/credits":
                 return HttpResponse.from_json({"credits": merged_credits(self.items)})
-        refused = Refused(ErrorKind.NOT_FOUND, detail=f"nothing is served at {request.path}")
+        refused = Refused.not_run(
+            ErrorKind.NOT_FOUND, detail=f"nothing is served at {request.path}"
+        )
         return problem_response(refused, "")
 
     def is_ready(self) -> bool:
@@ -182,7 +186,7 @@
         wait_ms = parse_whole(request.parameters.get("wait_ms", "0"))
         if after is None or wait_ms is None:
             detail = "after and wait_ms must be whole numbers"
-            return problem_response(Refused(ErrorKind.BAD_REQUEST, detail=detail), "")
+            return problem_response(Refused.not_run(ErrorKind.BAD_REQUEST, detail=detail), "")
         wait = min(Millis(wait_ms), MAX_EVENT_WAIT)
         waited = Millis(0)
         while not (found := self.events.after(after)) and waited < wait:
--- a/packages/firtrestle/firtrestle/plugins/admitters.py
+++ b/packages/firtrestle/firtrestle/plugins/admitters.py
@@ -70,7 +70,7 @@
 
     def admit(self, arrival: Arrival) -> Refused | None:
         if arrival.time_left <= 0:
-            return Refused(ErrorKind.DEADLINE_PASSED)
+            return Refused.not_run(ErrorKind.DEADLINE_PASSED)
         refused = self._check_limits(arrival) or self._check_overload(arrival)
         if refused is not None:
             return refused
@@ -88,7 +88,7 @@
     def _check_limits(self, arrival: Arrival) -> Refused | None:
         entry = arrival.entry
         if self._running_by_entry.get(entry.name, 0) + 1 > entry.concurrency * arrival.part:
-            return Refused(
+            return Refused.not_run(
                 ErrorKind.OVER_LIMIT, detail="concurrency", retry_after=self._random_retry_after()
             )
         rate = entry.rate_per_second * arrival.part
@@ -99,7 +99,7 @@
         bucket.tokens = min(bucket_size, bucket.tokens + gained)
         bucket.filled_at = now
         if bucket.tokens < 1:
-            return Refused(
+            return Refused.not_run(
                 ErrorKind.OVER_LIMIT, detail="rate", retry_after=self._random_retry_after()
             )
         bucket.tokens -= 1
@@ -117,7 +117,7 @@
         if self._rng.random() >= excess / len(recent.ended):
             return None
         recent.ended.append(now)
-        return Refused(ErrorKind.OVERLOADED, retry_after=self._random_retry_after())
+        return Refused.not_run(ErrorKind.OVERLOADED, retry_after=self._random_retry_after())
 
     def _recent_queries(self, arrival: Arrival) -> _RecentQueries:
         key = (arrival.entry.name, arrival.urgent)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -388,6 +388,7 @@
         metrics.GATHERS_ENDED_EARLY.set(self._counts.ended_early)
         metrics.REPEATS_WITHHELD.set(self._counts.repeats_withheld)
         metrics.SHEDS_REPEATED.set(self._counts.sheds_repeated)
+        metrics.STATUSES_WITHHELD.set(self._counts.statuses_withheld)
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
         metrics.OPENING_LOST.set(not self._uplink.opens)
--- a/packages/firtrestle/firtrestle/route_fronts.py
+++ b/packages/firtrestle/firtrestle/route_fronts.py
@@ -27,6 +27,7 @@
 
 RESPONSE_RESERVE = Millis(10)  # kept back from the caller's deadline to transmit the response
 KINDS_WORTH_RETRYING = frozenset({ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
+KINDS_WORTH_REPEATING = frozenset({ErrorKind.OUTCOME_UNKNOWN, ErrorKind.TARGET_REFUSED})
 # Long enough for a queue to drain; a shard without replicas takes seconds to return anyway.
 DEFAULT_RETRY_AFTER = Millis(200)
 RETRY_AFTER_JITTER = (0.5, 1.5)  # factors of the delay, so that callers don't retry in step
@@ -49,8 +50,8 @@
     def read(self, request: HttpRequest) -> DecodedRequest | Refused:
         """Return the decoded request, or the refusal of an invalid one."""
 
-    def write(self, request: DecodedRequest, answer: Answer) -> HttpResponse:
-        """Encode an answer as the response to its request."""
+    def write(self, request: DecodedRequest, answer: Answer) -> HttpResponse | Refused:
+        """Encode an answer, or refuse to: a status must not deny that its request may have run."""
 
     def refuse(self, request_id: str, refused: Refused) -> HttpResponse:
         """Encode a refusal; callers must be able to rely on a statement that nothing ran."""
@@ -128,11 +129,11 @@
         table = self.state.table
         # Without the registry's state, a request might be sent to an evacuated data centre.
         if table.version == 0 or not self._progress.complete.is_set():
-            refused = Refused(ErrorKind.NOT_READY, retry_after=Millis(500))
+            refused = Refused.not_run(ErrorKind.NOT_READY, retry_after=Millis(500))
             return self._refuse(request_id, "", arrived_at, refused)
         route = table.route_for(request.message.host, request.path)
         if route is None:
-            refused = Refused(ErrorKind.NOT_FOUND, detail=f"no route for {request.path}")
+            refused = Refused.not_run(ErrorKind.NOT_FOUND, detail=f"no route for {request.path}")
             return self._refuse(request_id, "", arrived_at, refused)
         time_left = route.timeout
         if request.time_left is not None:
@@ -140,11 +141,11 @@
         services = route.pick_services(self._rng)
         if time_left <= 0 or not services:
             kind = ErrorKind.DEADLINE_PASSED if services else ErrorKind.NO_TARGET
-            return self._refuse(request_id, route.name, arrived_at, Refused(kind))
+            return self._refuse(request_id, route.name, arrived_at, Refused.not_run(kind))
         deadline = Millis(arrived_at + time_left)
         if deadline > self.state.answers_by:
             if not route.repeatable:
-                refused = Refused(ErrorKind.STOPPING, retry_after=STOPPING_RETRY_AFTER)
+                refused = Refused.not_run(ErrorKind.STOPPING, retry_after=STOPPING_RETRY_AFTER)
                 return self._refuse(request_id, route.name, arrived_at, refused)
             deadline = self.state.answers_by
         routed = RoutedRequest(
@@ -162,10 +163,15 @@
                 self._tools.crashes.begin_trial(routed.fingerprint)
             gather = SplitGather(self._tools, routed, services)
             result = await admission.run(gather, gather.run)
-        if isinstance(result, Refused):
-            return self._refuse(request_id, route.name, arrived_at, result, gather)
-        self._report_answer(request_id, routed, gather, result)
-        return self._codec.write(request, result)
+        if isinstance(result, Answer):
+            response = self._codec.write(request, result)
+            if isinstance(response, HttpResponse):
+                self._report_answer(request_id, routed, gather, result)
+                return response
+            self._tools.counts.statuses_withheld += 1
+            retry_after = gather.time_to_return() if gather.is_repeatable else None
+            result = replace(response, retry_after=retry_after)
+        return self._refuse(request_id, route.name, arrived_at, result, gather)
 
     def _quarantine_refusal(self, routed: RoutedRequest) -> Refused | None:
         """Return the refusal of a request quarantined for crashing instances, None for others."""
@@ -176,7 +182,9 @@
         quarantine_left = crashes.time_left(fingerprint)
         if quarantine_left is None:
             return None
-        return Refused(ErrorKind.QUARANTINED, detail=fingerprint, retry_after=quarantine_left)
+        return Refused.not_run(
+            ErrorKind.QUARANTINED, detail=fingerprint, retry_after=quarantine_left
+        )
 
     def _report_answer(
         self, request_id: str, routed: RoutedRequest, gather: ServiceGather, answer: Answer
@@ -189,7 +197,7 @@
             version=routed.table.version,
             registry_age_ms=self._progress.logged_age(),
             status=answer.status,
-            may_have_run=summary.may_have_run,
+            ran=str(answer.ran),
             missing=answer.missing,
             evacuated=self._tools.instances.evacuations.zones(),
             left_out={name: str(reason) for name, reason in summary.reason_by_service.items()},
@@ -229,7 +237,7 @@
         is_repeatable = gather is not None and gather.is_repeatable
         is_worth_retrying = (
             refused.kind in KINDS_WORTH_RETRYING
-            or (refused.kind is ErrorKind.OUTCOME_UNKNOWN and is_repeatable)
+            or (refused.kind in KINDS_WORTH_REPEATING and is_repeatable)
             or (refused.kind is ErrorKind.DEADLINE_PASSED and refused.ran is Ran.FALSE)
         )
         if is_worth_retrying and refused.retry_after is None:
--- a/packages/firtrestle/firtrestle/routed_requests.py
+++ b/packages/firtrestle/firtrestle/routed_requests.py
@@ -7,6 +7,7 @@
 
 from firtrestle.clocks import Millis
 from firtrestle.crash_records import message_fingerprint
+from firtrestle.errors import Ran
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.outcomes import SubOutcome
 from firtrestle.routes import Route, RouteTable
@@ -56,4 +57,10 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether an attempt ran or may have run; those in flight may have."""
-        return self.sent > self.not_run_count
+        failure = self.last_failure
+        return self.sent > self.not_run_count or (failure is not None and failure.may_have_run)
+
+    @property
+    def ran(self) -> Ran:
+        """Return what a caller may be told of whether its request ran."""
+        return Ran.UNKNOWN if self.may_have_run else Ran.FALSE
--- a/packages/firtrestle/firtrestle/searches.py
+++ b/packages/firtrestle/firtrestle/searches.py
@@ -51,7 +51,7 @@
         """Return the gathered answer, or a refusal that states whether a target ran the query."""
         snapshot = choose_snapshot(self._views.for_collection(query.entry.collection))
         if snapshot is None:
-            return Refused(ErrorKind.NO_TARGET)
+            return Refused.not_run(ErrorKind.NO_TARGET)
         attempt_numbers = itertools.count(1)
         sent = 0
         for moves in itertools.count():
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -85,8 +85,8 @@
         await self.collect()
         if self._parts.reply_by_service and self._has_least_coverage():
             return merge(self._route.merge, self._parts)
-        failure = self.attempt_summary.last_failure
-        return failure_answer(len(self._services), failure) or self._refusal()
+        failure = failure_answer(len(self._services), self.attempt_summary)
+        return failure or self._refusal()
 
     async def collect(self) -> None:
         """Get the services' replies."""
@@ -124,9 +124,12 @@
 
     def _refusal(self) -> Refused:
         is_past_deadline = self._tools.clock.now() >= self._request.deadline
+        return gather_refusal(self.attempt_summary, is_past_deadline, self.time_to_return())
+
+    def time_to_return(self) -> Millis | None:
+        """Return when the caller may find usable instances, None if no instance's pause says so."""
         pauses = self._pause_by_service.values()
-        retry_after = time_to_return(self._coverage, pauses, self._tools.rng)
-        return gather_refusal(self.attempt_summary, is_past_deadline, retry_after)
+        return time_to_return(self._coverage, pauses, self._tools.rng)
 
     def _send_first(self) -> None:
         """Send to each shard, unless those without a usable instance are too many for an answer.
--- a/packages/firtrestle/firtrestle/submits.py
+++ b/packages/firtrestle/firtrestle/submits.py
@@ -40,10 +40,10 @@
     """Return a refusal for a key that is missing, malformed, from the future or too old."""
     issued_at = issue_time(key)
     if issued_at is None:
-        return Refused(ErrorKind.KEY_MISSING)
+        return Refused.not_run(ErrorKind.KEY_MISSING)
     age = clock.wall() - issued_at
     if age < -settings.clock_skew_ms:
-        return Refused(ErrorKind.KEY_MISSING, detail="the key is from the future")
+        return Refused.not_run(ErrorKind.KEY_MISSING, detail="the key is from the future")
     if age > settings.window_ms:
         return Refused(ErrorKind.KEY_EXPIRED, Ran.UNKNOWN, "it may have run when it was new")
     return None
@@ -63,7 +63,7 @@
             events = self._tools.events
             if isinstance(claimed, InDoubt):
                 events.add(EventKind.KEY_DENIED, query.request_id, reason=claimed.reason)
-                return Refused(ErrorKind.KEY_IN_DOUBT, Ran.FALSE, claimed.reason)
+                return Refused.not_run(ErrorKind.KEY_IN_DOUBT, claimed.reason)
             if isinstance(claimed, HeldByEarlierClaim):
                 events.add(EventKind.KEY_DENIED, query.request_id, reason=str(claimed.state))
                 return _answer_claimed_before(query, claimed)
@@ -143,7 +143,7 @@
 
 def _answer_claimed_before(query: Query, earlier: HeldByEarlierClaim) -> Receipt | Refused:
     if earlier.fingerprint != query.fingerprint:
-        return Refused(ErrorKind.KEY_REUSED, Ran.FALSE)
+        return Refused.not_run(ErrorKind.KEY_REUSED)
     if earlier.state is KeyState.DONE:
         return Receipt(earlier.outcome, replayed=True)
     if earlier.state is KeyState.CLAIMED:
--- a/packages/firtrestle/tests/test_comparisons.py
+++ b/packages/firtrestle/tests/test_comparisons.py
@@ -74,7 +74,7 @@
 
 
 async def test_incomplete_or_refused_answers_are_not_counted(autojump_clock):
-    refused = Refused(ErrorKind.NO_TARGET)
+    refused = Refused.not_run(ErrorKind.NO_TARGET)
     assert await counts_after(OldEntry(refused), gather_result("a")) == ComparisonCounts()
     assert (
         await counts_after(OldEntry(gather_result("a", complete=False)), gather_result("a"))
--- a/packages/firtrestle/tests/test_errors.py
+++ b/packages/firtrestle/tests/test_errors.py
@@ -8,7 +8,7 @@
 
 def test_retryable_refusal_has_a_retry_after_header():
     for kind, rule in ANSWER_BY_KIND.items():
-        response = problem_response(Refused(kind), "r1")
+        response = problem_response(Refused.not_run(kind), "r1")
         assert response.status == rule.status
         assert ("Retry-After" in response.headers) == (rule.retry_after is not None)
         if rule.status in (429, 503):
@@ -16,6 +16,6 @@
 
 
 def test_ran_is_encoded_as_a_boolean_or_unknown():
-    assert b'"ran": false' in problem_response(Refused(ErrorKind.OVERLOADED), "").body
+    assert b'"ran": false' in problem_response(Refused.not_run(ErrorKind.OVERLOADED), "").body
     unknown = Refused(ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
     assert b'"ran": "unknown"' in problem_response(unknown, "").body
--- a/packages/firtrestle/tests/test_relays.py
+++ b/packages/firtrestle/tests/test_relays.py
@@ -554,3 +554,19 @@
         assert harness.pools.sent == []
 
     run_with_harness(lambda instance, nth: (5, good(instance)), body)
+
+
+# Guards against a peer's word that an instance failed after a run, passed on as "not run".
+@pytest.mark.parametrize("says_so", [True, False])
+def test_a_failure_that_a_peer_relays_may_have_run(says_so):
+    async def body(harness):
+        cut, peer = cut_daemon(harness)
+        failure = [503, "stamp", [], b"failed"]
+        peer.interfere["p1"] = Relayed(
+            reasons={"s0": "refused"}, failure=failure, sent=1, may_have_run=says_so
+        )
+        answer, gather = await cut.ask(plain_route())
+        assert (answer.status, answer.ran) == (503, Ran.UNKNOWN)
+        assert gather.attempt_summary.relayed_to == "p1"
+
+    run_with_harness(lambda instance, nth: (5, good(instance)), body)
