--- a/packages/firtrestle/tests/test_peers.py
+++ b/packages/firtrestle/tests/test_peers.py
@@ -1,8 +1,20 @@
+from contextlib import suppress
+
+import pytest
 import trio
 from firtrestle.clocks import Millis, sleep
-from firtrestle.messages import AreYouThere, Done, Ping, Pong, SubReply, SubRequest, encode
+from firtrestle.messages import (
+    MAX_FRAME_BYTES,
+    AreYouThere,
+    Done,
+    Ping,
+    Pong,
+    SubReply,
+    SubRequest,
+    encode,
+)
 from firtrestle.peer_servers import PeerServer
-from firtrestle.peers import PeerAddress, PeerClient, PeerFailure
+from firtrestle.peers import CHUNK_BYTES, PeerAddress, PeerClient, PeerFailure
 
 SUB = SubRequest("r", 1, "t", "s", "c", 1, 0, "search", {}, 1_000)
 
@@ -228,3 +240,27 @@
         client = PeerClient(address, nursery)
         assert await client.call(Ping("d1"), Millis(2_000)) == Pong()
         nursery.cancel_scope.cancel()
+
+
+# Guards against a daemon that keeps all the bytes of a peer whose answer has no end.
+@pytest.mark.parametrize("handshakes", [False, True])
+async def test_an_answer_without_end_fails_its_call(handshakes):
+    endless_text = b"\xdb\xff\xff\xff\xff" + b"x" * 65_536  # says that it has 4 GB
+
+    async def answer(stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):
+            await stream.receive_some(1_000)
+            if handshakes:
+                await stream.send_all(encode(0, Done()))
+            while True:
+                await stream.send_all(endless_text)
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, answer, [listener])
+        address = PeerAddress("127.0.0.1", listener.socket.getsockname()[1])
+        client = PeerClient(address, nursery)
+        with trio.fail_after(10):
+            assert isinstance(await client.call(Ping("d1"), Millis(5_000)), PeerFailure)
+        assert client.bytes_received <= MAX_FRAME_BYTES + CHUNK_BYTES
+        nursery.cancel_scope.cancel()
