--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -17,6 +17,7 @@
 import trio
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
+from firtrestle.http_events import next_event
 from firtrestle.isolations import first_leaf
 from firtrestle.receive_bounds import (
     EVENTS_PER_TURN,
@@ -275,7 +276,7 @@
                     return ReplyOverBounds(True, reason)
             if number % EVENTS_PER_TURN == 0:
                 await trio.lowlevel.checkpoint()
-            event = self._http.next_event()
+            event = next_event(self._http)
         raise AssertionError("unreachable")
 
     def _start_next_cycle(self) -> bool:
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -15,6 +15,7 @@
 
 from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
+from firtrestle.http_events import next_event
 from firtrestle.isolations import faults
 from firtrestle.problems import problem_response
 from firtrestle.receive_bounds import (
@@ -237,7 +238,7 @@
         for number in itertools.count(1):
             if number % EVENTS_PER_TURN == 0:
                 await trio.lowlevel.checkpoint()
-            event = self._http.next_event()
+            event = next_event(self._http)
             if event is h11.NEED_DATA:
                 if self._http.they_are_waiting_for_100_continue:
                     continue_response = h11.InformationalResponse(status_code=100, headers=[])
--- a/packages/firtrestle/firtrestle/instance_pools.py
+++ b/packages/firtrestle/firtrestle/instance_pools.py
@@ -46,6 +46,10 @@
 ObserveReply = Callable[[Instance, CallerMessage, InstanceReply], None]
 
 
+def _ignore_reply(reply: InstanceReply) -> None:
+    return
+
+
 @dataclass(slots=True, eq=False)
 class InstanceCall:
     """Track one message to one instance; its reply is delivered at most once."""
@@ -63,8 +67,7 @@
     def finish(self, reply: InstanceReply) -> None:
         """Deliver the reply, unless the call is finished or cancelled."""
         if not self.finished:
-            self.finished = True
-            self.deliver(reply)
+            self._release_receiver()(reply)
 
     def fail(self, reason: str) -> None:
         """Deliver a failure now, and stop the call."""
@@ -75,7 +78,7 @@
 
     def cancel(self) -> None:
         """Cancel the call; if sent, its reply is awaited briefly to keep the connection usable."""
-        self.finished = True
+        self._release_receiver()
         if self.sent_at is not None:
             self.scope.deadline = trio.current_time() + CANCELLED_REPLY_TIMEOUT / MILLIS_PER_SECOND
         else:
@@ -85,6 +88,16 @@
         """Stop a cancelled call at once, which closes its connection."""
         self.scope.cancel()
 
+    def _release_receiver(self) -> DeliverReply:
+        """Finish the call, and return what its reply was to be delivered to.
+
+        The gather that waits for the reply holds its calls. Without this release the two hold each
+        other, and with them the request's body, until the garbage collector runs.
+        """
+        self.finished = True
+        deliver, self.deliver = self.deliver, _ignore_reply
+        return deliver
+
 
 @dataclass(slots=True, eq=False)
 class _Waiter:
--- a/packages/firtrestle/firtrestle/instance_replies.py
+++ b/packages/firtrestle/firtrestle/instance_replies.py
@@ -13,7 +13,7 @@
 from firtrestle.outcomes import SubOutcome
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, weakref_slot=True)
 class CallerMessage:
     """Represent a caller's request, which is passed on to instances unchanged."""
 
