--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -13,7 +13,7 @@
 import trio
 from loguru import logger
 
-from firtrestle.clocks import MILLIS_PER_SECOND, Millis, move_on_after
+from firtrestle.clocks import Clock, Millis, move_on_after
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.http_events import next_event
 from firtrestle.isolations import faults
@@ -28,8 +28,10 @@
     ReceiveMemory,
 )
 from firtrestle.settings import FrontSettings
+from firtrestle.transfers import ResponseWrites, Transfer, prepare_stream
 
 MAX_HEAD_BYTES = 16_384
+REQUEST_ID_HEADER = "x-request-id"
 STATUS_HEADERS_TOO_LARGE = 431
 
 
@@ -89,7 +91,8 @@
 class HttpServer:
     """Serve the connections of one listener.
 
-    A connection beyond `max_connections` is closed at once. With `watch_callers`, a caller that
+    Heads are read within the read timeout; bodies and responses may take as long as they move. A
+    connection beyond `max_connections` is closed at once. With `watch_callers`, a caller that
     disconnects cancels the handler of its request.
     """
 
@@ -100,12 +103,14 @@
         max_connections: int = 1_000,
         watch_callers: bool = True,
         memory: ReceiveMemory | None = None,
+        writes: ResponseWrites | None = None,
     ) -> None:
         self.handler = handler
         self.bounds = bounds
         self.max_connections = max_connections
         self.watch_callers = watch_callers
         self.memory = memory
+        self.writes = writes or ResponseWrites()
         self.open_connections = 0
         self.closing = False
         self.idle_allowed = True
@@ -145,10 +150,12 @@
         self._server = server
         self._bounds = server.bounds
         self._stream = stream
+        self._clock = Clock()
         self._method = ""
         self._http = self._build_parser()
 
     async def run(self) -> None:
+        prepare_stream(self._stream)
         while await self._serve_request():
             self._http.start_next_cycle()
 
@@ -182,11 +189,15 @@
         if isinstance(request, Refused):
             await self._send(problem_response(request, ""), is_last=True)
             return False
+        request_id = request.header(REQUEST_ID_HEADER)
         response = await self._handle(request)
         if response is None:
             return False
         is_last = response.close or self._server.closing
-        await self._send(response, is_last)
+        data = self._encode(response, is_last)
+        # A client may take long to read the response; until then, only its bytes are kept.
+        del request, response
+        await self._write(data, request_id)
         return (
             not is_last and self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         )
@@ -233,8 +244,9 @@
     async def _read_request(
         self, scope: trio.CancelScope, reader: BodyReader
     ) -> HttpRequest | Refused | None:
-        """Read one request; its head extends the deadline by the idle timeout, for the body."""
+        """Read one request; with its head, the deadline of a transfer begins for the body."""
         head: h11.Request | None = None
+        transfer: Transfer | None = None
         for number in itertools.count(1):
             if number % EVENTS_PER_TURN == 0:
                 await trio.lowlevel.checkpoint()
@@ -243,11 +255,16 @@
                 if self._http.they_are_waiting_for_100_continue:
                     continue_response = h11.InformationalResponse(status_code=100, headers=[])
                     await self._stream.send_all(self._http.send(continue_response))
-                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+                data = await self._stream.receive_some(READ_BYTES)
+                self._http.receive_data(data)
+                if transfer is not None:
+                    transfer.record(len(data))
+                    transfer.limit(scope)
             elif isinstance(event, h11.Request):
                 head = event
                 self._method = event.method.decode()
-                scope.deadline += self._bounds.idle_timeout / MILLIS_PER_SECOND
+                transfer = Transfer(self._clock, self._bounds.idle_timeout)
+                transfer.limit(scope)
             elif isinstance(event, h11.Data):
                 reader.add(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
@@ -297,6 +314,9 @@
         return self._method == "HEAD"
 
     async def _send(self, response: HttpResponse, is_last: bool) -> None:
+        await self._write(self._encode(response, is_last))
+
+    def _encode(self, response: HttpResponse, is_last: bool) -> bytes:
         headers = [
             ("Content-Type", response.content_type),
             ("Content-Length", str(len(response.body))),
@@ -309,13 +329,10 @@
         data = self._http.send(head)
         if not self._is_head_request():
             data += self._http.send(h11.Data(data=response.body))
-        data += self._http.send(h11.EndOfMessage())
-        with move_on_after(self._bounds.read_timeout) as scope:
-            await self._stream.send_all(data)
-        if scope.cancelled_caught:
-            raise trio.BrokenResourceError(
-                "the caller did not read its response within the read timeout"
-            )
+        return data + self._http.send(h11.EndOfMessage())
+
+    async def _write(self, data: bytes, request_id: str = "") -> None:
+        await self._server.writes.write(self._stream, data, self._bounds.idle_timeout, request_id)
 
 
 def _build_request(head: h11.Request, body: bytes) -> HttpRequest | Refused:
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -67,6 +67,18 @@
     "Replies of instances that were ended as they exceeded their bounds, since the start",
     registry=REGISTRY,
 )
+MESSAGE_BYTES = Gauge(
+    "firtrestle_message_bytes",
+    "Bytes held of messages that are not read or written whole",
+    ["kind"],
+    registry=REGISTRY,
+)
+RESPONSES_CUT = Gauge(
+    "firtrestle_responses_cut",
+    "Responses ended before their clients had read them, since the start",
+    ["reason"],
+    registry=REGISTRY,
+)
 CONNECTIONS = Gauge(
     "firtrestle_instance_connections", "Open connections to instances", registry=REGISTRY
 )
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -52,6 +52,7 @@
 from firtrestle.settings import Settings
 from firtrestle.settings_reloads import reload_settings
 from firtrestle.snapshots import ReplicaId
+from firtrestle.transfers import ResponseWrites
 from firtrestle.unsent_replies import EVACUATED, LEAVING, PAUSED
 from firtrestle.uplink_monitors import UplinkMonitor
 from firtrestle.uplink_reports import UplinkReports
@@ -67,6 +68,7 @@
 BYTES_PER_MB = 1_000_000
 REPLY_MEMORY_SHARE = 0.1  # of the VM's memory, for unfinished replies of instances
 REQUEST_MEMORY_SHARE = 0.1  # of the VM's memory, for unfinished requests of callers
+RESPONSE_MEMORY_SHARE = 0.2  # of the VM's memory, for responses that callers have not read
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -225,12 +227,16 @@
         )
         publisher.start(self._source.parse_routes)
         front = settings.front
-        request_memory = ReceiveMemory(int(memory_bytes * REQUEST_MEMORY_SHARE))
+        self._reply_memory = reply_memory
+        self._request_memory = request_memory = ReceiveMemory(
+            int(memory_bytes * REQUEST_MEMORY_SHARE)
+        )
         self._http = HttpServer(
             self._handle,
             HttpBounds.from_config(front),
             front.max_connections,
             memory=request_memory,
+            writes=ResponseWrites(memory_bytes * RESPONSE_MEMORY_SHARE, clock),
         )
         self._operator_http = HttpServer(self._handle_operator, HttpBounds(), front.max_connections)
 
@@ -382,6 +388,14 @@
         metrics.QUEUED.set(self._pools.waiting)
         metrics.OVER_BOUNDS.set(self._pools.replies_over_bounds)
         metrics.CONNECTIONS.set(self._pools.open_connections)
+        writes = self._http.writes
+        bytes_by_kind = {
+            "requests read": self._request_memory.used_bytes,
+            "replies read": self._reply_memory.used_bytes,
+            "responses written": writes.used_bytes,
+        }
+        metrics.set_by_label(metrics.MESSAGE_BYTES, bytes_by_kind)
+        metrics.set_by_label(metrics.RESPONSES_CUT, writes.cut_by_reason)
         metrics.set_by_label(metrics.REPLICAS, self._replicas.count_by_state())
         metrics.REPORTED_SLOW.set(self._reports.slow.verdict_count())
         metrics.REPORTED_FAILING.set(self._reports.failing.verdict_count())
