--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -42,6 +42,7 @@
     was_heard: bool  # the instance had replied before, so that it was alive
     is_unanswered: bool = False  # given up, so that only the registry tells a crash from slowness
     is_reached: bool = False  # a probe has reached the instance since
+    is_absent: bool = False  # probes don't reach it, and don't tell since when
 
 
 @dataclass(slots=True)
@@ -52,8 +53,12 @@
     lost: set[ReplicaId] = field(default_factory=set)
 
     def is_conclusive(self) -> bool:
-        """Return whether most of the instances are lost."""
-        return len(self.lost) >= MIN_LOST_SHARE * len(self.broken_by_replica)
+        """Return whether most of the instances are lost, of those that may live on."""
+        absent = sum(
+            broken.is_absent and replica_id not in self.lost
+            for replica_id, broken in self.broken_by_replica.items()
+        )
+        return len(self.lost) >= MIN_LOST_SHARE * (len(self.broken_by_replica) - absent)
 
     def broken(self) -> int:
         """Return the number of replies that broke off."""
@@ -224,14 +229,20 @@
             and replica_id not in case.lost
         }
 
-    def record_unreachable(self, replica_id: ReplicaId) -> None:
+    def record_unreachable(self, replica_id: ReplicaId, is_refused: bool) -> None:
         """Count the crash of an instance that probes did not reach, while they reached others.
 
         One that had never replied may have been dead before: connections to it may be accepted and
-        dropped in between.
+        dropped in between. It has crashed if they are refused now, as it took the request over one.
         """
-        oldest = Millis(self._clock.now() - PROBE_TIME)
-        self._record_losses(replica_id, oldest, "probe", only_heard=True)
+        now = self._clock.now()
+        for case in self._case_by_fingerprint.values():
+            broken = case.broken_by_replica.get(replica_id)
+            if broken is not None:
+                broken.is_absent = True
+        self._record_losses(
+            replica_id, Millis(now - PROBE_TIME), "probe", only_heard=not is_refused
+        )
 
     def record_reached(self, replica_id: ReplicaId) -> None:
         """Stop probing an instance that a probe reached; the registry may yet show a restart."""
--- a/packages/firtrestle/firtrestle/fault_probes.py
+++ b/packages/firtrestle/firtrestle/fault_probes.py
@@ -63,28 +63,29 @@
         suspects = [instance for instance in known if instance.replica_id in in_doubt]
         suspects = self._rng.sample(suspects, min(MAX_SUSPECTS, len(suspects)))
         witnesses = self._choose_witnesses(known, in_doubt, WITNESSES)
-        accepting = {
-            instance.replica_id
-            for instance in await self._prober.find_accepting([*suspects, *witnesses])
-        }
-        are_links_up = any(instance.replica_id in accepting for instance in witnesses)
+        found = await self._prober.probe([*suspects, *witnesses])
+        are_links_up = any(instance.replica_id in found.accepting for instance in witnesses)
         dead = []
         for instance in suspects:
-            is_reachable = instance.replica_id in accepting
+            is_reachable = instance.replica_id in found.accepting
+            is_refused = instance.replica_id in found.refusing
             logger.bind(
-                instance=instance.id, reachable=is_reachable, others_reachable=are_links_up
+                instance=instance.id,
+                reachable=is_reachable,
+                refused=is_refused,
+                others_reachable=are_links_up,
             ).info("instance in doubt probed")
             if is_reachable:
                 self._crashes.record_reached(instance.replica_id)
             elif are_links_up:
-                self._crashes.record_unreachable(instance.replica_id)
+                self._crashes.record_unreachable(instance.replica_id, is_refused)
                 dead.append(instance)
-        self._uplink.record_probes(bool(accepting), dead)
+        self._uplink.record_probes(bool(found.accepting), dead)
 
     async def reaches_one(self) -> bool:
         """Return whether one instance accepts a connection."""
         witnesses = self._choose_witnesses(self._list_instances(), set(), 1)
-        return bool(await self._prober.find_accepting(witnesses))
+        return bool((await self._prober.probe(witnesses)).accepting)
 
     def _choose_witnesses(
         self, known: list[Instance], in_doubt: set[ReplicaId], count: int
--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -88,6 +88,11 @@
     """Represent an exchange that didn't start as all connections allowed here are in use."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionRefused(HttpFailure):
+    """Represent a connection that the server's host refused, as nothing listens there."""
+
+
 class RequestTemplate:
     """Validate the headers of a request once, for copies to many servers.
 
@@ -144,6 +149,8 @@
         try:
             with move_on_after(timeout):
                 return cls(await _connect(host, port, source), f"{host}:{port}", memory)
+        except ConnectionRefusedError as error:
+            return ConnectionRefused(False, f"connecting to {host}:{port} failed: {error}")
         except OSError as error:
             return HttpFailure(False, f"connecting to {host}:{port} failed: {error}")
         return HttpFailure(False, f"connecting to {host}:{port} took too long")
