--- a/packages/firtrestle/firtrestle/http_clients.py
+++ b/packages/firtrestle/firtrestle/http_clients.py
@@ -7,7 +7,7 @@
 import select
 import socket
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import lru_cache
@@ -131,6 +131,7 @@
         self._memory = memory
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.usable = True
+        self.on_received: Callable[[int], None] | None = None  # gets the size of what arrived
         self._awaits_reply = False
 
     @classmethod
@@ -264,7 +265,10 @@
         event: Any = h11.NEED_DATA  # nothing of the reply has been received yet
         for number in itertools.count(1):
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+                data = await self._stream.receive_some(READ_BYTES)
+                self._http.receive_data(data)
+                if self.on_received is not None:
+                    self.on_received(len(data))
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 if status > MAX_STATUS:
--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -216,6 +216,11 @@
     "Times that the registry was read again as another era of it was known, since the start",
     registry=REGISTRY,
 )
+TOO_LONG_ANSWERS = Gauge(
+    "firtrestle_registry_too_long_answers",
+    "Watches whose changes were too many for an answer, so that all was read, since the start",
+    registry=REGISTRY,
+)
 ROWS_OF_OTHER_ERAS = Gauge(
     "firtrestle_registry_rows_of_other_eras",
     "Registrations of peers that were refused as their revisions are of other eras",
--- a/packages/firtrestle/firtrestle/registry_readers.py
+++ b/packages/firtrestle/firtrestle/registry_readers.py
@@ -63,6 +63,7 @@
         self._clock = clock
         self._expected = expected
         self._part_by_name: dict[str, _PartProgress] = {}
+        self.too_long_answers = 0  # to questions for changes; complete reads followed them
         self.complete = trio.Event()  # set once every expected part is known
 
     def revision(self, name: str) -> int | None:
@@ -92,6 +93,13 @@
         """Require a complete read of a part, as the registry no longer has its history."""
         self._part_by_name.pop(name, None)
 
+    def read_again(self, name: str) -> None:
+        """Require a complete read of a part whose changes are too many for an answer."""
+        part = self._part_by_name.get(name)
+        if part is not None:
+            part.revision = None
+        self.too_long_answers += 1
+
     def age(self) -> Millis:
         """Return the age of the least current part; infinite while a part is unknown.
 
--- a/packages/firtrestle/firtrestle/registry_watches.py
+++ b/packages/firtrestle/firtrestle/registry_watches.py
@@ -50,11 +50,13 @@
 class RegistryFailure:
     """Report a call that failed or whose answer is of no use.
 
-    After `history_gone` the whole part must be read again.
+    After `history_gone` the whole part must be read again. With `too_long`, so it must if changes
+    were asked for: that answer only grows, while a complete read has each key once.
     """
 
     reason: str
     history_gone: bool = False
+    too_long: bool = False
 
 
 RegistryResult = RegistryUpdates | RegistryFailure
@@ -117,6 +119,9 @@
                 if result.history_gone:
                     self._progress.forget(self._name)
                     continue
+                if result.too_long and revision is not None:
+                    self._progress.read_again(self._name)
+                    continue
                 self._progress.read_failed(self._name)
                 await sleep(Millis(self._settings.retry_ms * self._rng.uniform(0.5, 1.5)))
                 continue
@@ -207,13 +212,15 @@
         logger.bind(
             part=self._name,
             reason=failure.reason,
+            too_long=failure.too_long,
             after_ms=round(self._clock.now() - started_at),
             registry_age_ms=self._progress.logged_age(),
         ).info("registry read failed")
 
     def _note_reachable(self, result: RegistryResult) -> None:
         """Log when the registry becomes reachable or unreachable."""
-        reachable = not isinstance(result, RegistryFailure) or result.history_gone
+        is_failure = isinstance(result, RegistryFailure)
+        reachable = not is_failure or result.history_gone or result.too_long
         if reachable == self.reachable:
             return
         self.reachable = reachable
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -380,6 +380,7 @@
         metrics.REGISTRY_ERA.set(eras.span.newest if eras.span is not None else 0)
         metrics.REGISTRY_RESTORES.set(eras.restores)
         metrics.ROWS_OF_OTHER_ERAS.set(eras.refused_rows)
+        metrics.TOO_LONG_ANSWERS.set(self._progress.too_long_answers)
         metrics.PLATFORM_READS.set(self._source.status()["calls"])
         metrics.RUNNING.set(self.state.running)
         metrics.set_by_label(metrics.ISOLATED_FAULTS, faults.count_by_task)
--- a/packages/firtrestle/tests/test_registry_watches.py
+++ b/packages/firtrestle/tests/test_registry_watches.py
@@ -29,6 +29,7 @@
         self.calls = 0
         self.is_silent = False
         self.drops_watches = False  # long polls get no answer, short reads do
+        self.most_changes = 1_000  # that fit into an answer
         self.era = 0
         self.changed = trio.Event()
 
@@ -53,6 +54,8 @@
         with move_on_after(wait):
             while self.revision <= after:
                 await self.changed.wait()
+        if after and self.revision - after > self.most_changes:
+            return RegistryFailure("too many changes", too_long=True)
         if self.drops_watches and wait > 1_000:
             await trio.sleep_forever()
         return self.updates(after)
@@ -234,3 +237,22 @@
     progress.eras.observe(5)
     assert progress.revision(PART) is None
     assert progress.age() == age_before
+
+
+# Guards against a question whose answer is too long being asked again and again, while changes
+# add to it, so that none is in force (review case 7).
+@pytest.mark.parametrize("changes", [20, 200])
+async def test_changes_that_are_too_many_for_an_answer_are_read_as_a_whole(
+    fleet, changes, autojump_clock
+):
+    registry, daemons = fleet
+    await sleep(START)
+    registry.most_changes = 3
+    for _ in range(changes):
+        registry.change()
+        await sleep(Millis(10))
+    calls = registry.calls
+    await sleep(Millis(1_000))
+    assert {daemon.held for daemon in daemons} == {(0, registry.revision)}
+    assert registry.calls - calls < 30
+    assert sum(daemon.progress.too_long_answers for daemon in daemons) > 0
