Accept bounds that are fractions (Fault)

graceS 6.5 or budgetWindowS 9.5, which the platform's pages allow, made the settings' template render "6.5000" and the daemon end at its start.

--- a/packages/firtrestle/firtrestle/settings.py
+++ b/packages/firtrestle/firtrestle/settings.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
+import re
 from pathlib import Path
 from typing import Annotated, Any
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
+from firtrestle.clocks import MILLIS_PER_SECOND
 from firtrestle.yaml_documents import Fault, check_document
 
 DEFAULT_PLUGINS = [
@@ -28,6 +31,18 @@
 
 
 Port = Annotated[int, BeforeValidator(_parse_port)]
+SECONDS_PATTERN = re.compile(r"^([0-9]{1,9}(?:\.[0-9]{0,9})?) s$")
+
+
+def _parse_duration(value: Any) -> Any:
+    """Return whole ms of a number or of text as in "6.5 s", and any other value unchanged."""
+    seconds = SECONDS_PATTERN.match(value) if isinstance(value, str) else None
+    if seconds is not None:
+        return round(float(seconds[1]) * MILLIS_PER_SECOND)
+    return round(value) if isinstance(value, float) and math.isfinite(value) else value
+
+
+DurationMs = Annotated[int, BeforeValidator(_parse_duration)]
 
 
 class DaemonSettings(_Section):
@@ -144,13 +159,16 @@
         ge=0,
         description="repeats per window and service beyond that ratio, over all daemons",
     )
-    repeat_window_ms: int = Field(
-        10_000, ge=100, description="window over which repeat_ratio and repeat_slack apply, ms"
+    repeat_window_ms: DurationMs = Field(
+        10_000,
+        ge=100,
+        description="window over which repeat_ratio and repeat_slack apply, ms, or text as in "
+        "'9.5 s'",
     )
     least_fleet_size: int = Field(
         16, ge=1, description="smallest number of daemons that repeat_slack is divided by"
     )
-    instance_drain_ms: int = Field(
+    instance_drain_ms: DurationMs = Field(
         3_000,
         ge=100,
         description="time in which an instance that announced its departure takes requests, ms",
@@ -164,7 +182,9 @@
         description="timeout of one long poll; the registry must keep its history for longer, ms",
     )
     retry_ms: int = Field(400, ge=10, description="mean pause before a failed read is retried, ms")
-    grace_ms: int = Field(6_000, ge=600, description="time from SIGTERM to SIGKILL, ms")
+    grace_ms: DurationMs = Field(
+        6_000, ge=600, description="time from SIGTERM to SIGKILL, ms, or text as in '6.5 s'"
+    )
     warm_up_overage: float | None = Field(
         None,
         ge=0,
