--- a/packages/firtrestle/firtrestle/logs.py
+++ b/packages/firtrestle/firtrestle/logs.py
@@ -24,6 +24,7 @@
 WARNING_LEVEL = 30  # loguru's number
 DEBUG_LEVEL = 10  # loguru's number
 MAX_TRACE_CHARS = 4_000  # the end of a trace, where the exception was raised
+MAX_LOGGED_ID_CHARS = 200  # callers may choose longer ids
 MAX_BUFFER_BYTES = 262_144  # lines that the reader of a full pipe has not consumed yet
 
 
@@ -127,6 +128,9 @@
         "message": record["message"],
         **record["extra"],
     }
+    request_id = line.get("request_id")
+    if isinstance(request_id, str) and len(request_id) > MAX_LOGGED_ID_CHARS:
+        line["request_id"] = f"{request_id[:MAX_LOGGED_ID_CHARS]}..."
     if record["exception"] is not None:
         line["exception"] = str(record["exception"].value)
         line["trace"] = _trace(record["exception"])[-MAX_TRACE_CHARS:]
--- a/packages/firtrestle/tests/test_logs.py
+++ b/packages/firtrestle/tests/test_logs.py
@@ -1,6 +1,14 @@
+import json
 import os
 
-from firtrestle.logs import MAX_BUFFER_BYTES, WARNING_LEVEL, LineSink
+from firtrestle.logs import (
+    MAX_BUFFER_BYTES,
+    MAX_LOGGED_ID_CHARS,
+    WARNING_LEVEL,
+    LineSink,
+    _as_json,
+)
+from loguru import logger
 
 INFO = 20
 
@@ -34,3 +42,12 @@
     sink, read = pipe_sink(100)
     os.close(read)
     sink.write("line\n", INFO)
+
+
+# Guards against lines as long as the ids that callers choose.
+def test_a_long_request_id_is_cut_in_a_line():
+    lines = []
+    handler = logger.add(lambda message: lines.append(_as_json(message)), level="INFO")
+    logger.bind(request_id="r" * 5_000, daemon="d", data_centre="dc").info("answered")
+    logger.remove(handler)
+    assert json.loads(lines[0])["request_id"] == "r" * MAX_LOGGED_ID_CHARS + "..."
