--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -20,6 +20,7 @@
 from firtrestle.problems import problem_response
 from firtrestle.receive_bounds import (
     EVENTS_PER_TURN,
+    MIN_REQUEST_PIECE_BYTES,
     READ_BYTES,
     BodyReader,
     BodyTooFragmented,
@@ -79,6 +80,8 @@
     read_timeout: Millis = Millis(5_000)
     idle_timeout: Millis = Millis(60_000)
     max_head_bytes: int = MAX_HEAD_BYTES
+    # The bounds in force aren't known yet, so that what exceeds these may be good later.
+    are_provisional: bool = False
 
     @classmethod
     def from_config(cls, front: FrontSettings) -> HttpBounds:
@@ -231,10 +234,11 @@
         """Read one request, or refuse one whose body exceeds a bound."""
         limit = self._bounds.max_body_bytes
         try:
-            with BodyReader(limit, self._server.memory) as reader:
+            with BodyReader(limit, self._server.memory, MIN_REQUEST_PIECE_BYTES) as reader:
                 return await self._read_request(scope, reader)
         except BodyTooLarge:
-            return Refused.not_run(ErrorKind.TOO_LARGE, detail=f"the limit is {limit} bytes")
+            kind = ErrorKind.NOT_READY if self._bounds.are_provisional else ErrorKind.TOO_LARGE
+            return Refused.not_run(kind, detail=f"the limit is {limit} bytes")
         except BodyTooFragmented as error:
             return Refused.not_run(ErrorKind.BAD_REQUEST, detail=str(error))
         except MemoryUsedUp as error:
@@ -306,7 +310,10 @@
             refused = Refused.not_run(ErrorKind.BAD_REQUEST, detail=str(error))
             response = problem_response(refused, "")
             if error.error_status_hint == STATUS_HEADERS_TOO_LARGE:
-                response = problem_response(refused, "", status=STATUS_HEADERS_TOO_LARGE)
+                status = STATUS_HEADERS_TOO_LARGE
+                if self._bounds.are_provisional:
+                    refused, status = Refused.not_run(ErrorKind.NOT_READY, refused.detail), None
+                response = problem_response(refused, "", status=status)
             await self._send(response, is_last=True)
         return False
 
--- a/packages/firtrestle/firtrestle/receive_bounds.py
+++ b/packages/firtrestle/firtrestle/receive_bounds.py
@@ -8,7 +8,8 @@
 EVENTS_PER_TURN = 32  # of one message, before other tasks get a turn
 # A piece is a chunk, or what one read returned; each costs processor time, however small it is.
 FREE_PIECES = 1_024
-MIN_PIECE_BYTES = 128  # least mean size of the pieces beyond the free ones
+MIN_PIECE_BYTES = 128  # least mean size of the pieces beyond the free ones, of replies
+MIN_REQUEST_PIECE_BYTES = 1  # callers may send bodies in chunks of any size
 FREE_BYTES = 32_768  # of each message, which it may hold whatever the others hold
 
 
@@ -48,10 +49,19 @@
 
 
 class BodyReader:
-    """Collect the pieces of one body within its bounds; its memory is reserved until the exit."""
+    """Collect the pieces of one body within its bounds; its memory is reserved until the exit.
 
-    def __init__(self, max_bytes: int, memory: ReceiveMemory | None = None) -> None:
+    With `min_piece_bytes`, pieces beyond the free ones must have that mean size.
+    """
+
+    def __init__(
+        self,
+        max_bytes: int,
+        memory: ReceiveMemory | None = None,
+        min_piece_bytes: int = MIN_PIECE_BYTES,
+    ) -> None:
         self._max_bytes = max_bytes
+        self._min_piece_bytes = min_piece_bytes
         self._memory = memory
         self._body = bytearray()
         self._pieces = 0
@@ -76,7 +86,7 @@
         size = len(self._body) + len(piece)
         if size > self._max_bytes:
             raise BodyTooLarge(f"the body has over {self._max_bytes} bytes")
-        if self._pieces > FREE_PIECES + size / MIN_PIECE_BYTES:
+        if self._pieces > FREE_PIECES + size / self._min_piece_bytes:
             raise BodyTooFragmented(f"the body has {self._pieces} pieces in {size} bytes")
         self._reserve(size - FREE_BYTES - self._reserved_bytes)
         self._body += piece
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -4,6 +4,7 @@
 
 import importlib
 import signal
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -233,7 +234,7 @@
         )
         self._http = HttpServer(
             self._handle,
-            HttpBounds.from_config(front),
+            replace(HttpBounds.from_config(front), are_provisional=True),
             front.max_connections,
             memory=request_memory,
             writes=ResponseWrites(memory_bytes * RESPONSE_MEMORY_SHARE, clock),
