--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 SEEDS ?= 1
 MINUTES ?= 0.5
 DAEMONS ?= 8
+RUNS ?= 1
 
-.PHONY: setup test lint demo playground bench soak slopes overheads clean
+.PHONY: setup test lint demo playground bench soak review slopes overheads clean
 
 $(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +39,9 @@
 	$(BIN)/python platform/tests/soaks.py --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES) \
 		--daemons $(DAEMONS)
 
+review: setup
+	$(BIN)/python platform/tests/review_plays.py --runs $(RUNS)
+
 slopes: setup
 	$(BIN)/python -m bench.slopes
 
