--- a/packages/firtrestle/firtrestle/crash_records.py
+++ b/packages/firtrestle/firtrestle/crash_records.py
@@ -235,20 +235,15 @@
         One that had never replied may have been dead before: connections to it may be accepted and
         dropped in between. It has crashed if they are refused now, as it took the request over one.
         """
-        now = self._clock.now()
-        for case in self._case_by_fingerprint.values():
-            broken = case.broken_by_replica.get(replica_id)
-            if broken is not None:
-                broken.is_absent = True
-        self._record_losses(
-            replica_id, Millis(now - PROBE_TIME), "probe", only_heard=not is_refused
-        )
+        for broken in self._broken_replies(replica_id):
+            broken.is_absent = True
+        oldest = Millis(self._clock.now() - PROBE_TIME)
+        self._record_losses(replica_id, oldest, "probe", only_heard=not is_refused)
 
     def record_reached(self, replica_id: ReplicaId) -> None:
         """Stop probing an instance that a probe reached; the registry may yet show a restart."""
-        for case in self._case_by_fingerprint.values():
-            if replica_id in case.broken_by_replica:
-                case.broken_by_replica[replica_id].is_reached = True
+        for broken in self._broken_replies(replica_id):
+            broken.is_reached, broken.is_absent = True, False
 
     def record_instance_lost(self, replica_id: ReplicaId) -> None:
         """Count the recent broken replies of an instance that was removed or restarted."""
@@ -285,6 +280,15 @@
                 self._items.remove(key)
                 self._record_by_fingerprint.pop(key.removeprefix(CRASH_PREFIX), None)
 
+    def _broken_replies(self, replica_id: ReplicaId) -> list[_BrokenReply]:
+        """Return an instance's broken replies to all requests."""
+        cases = self._case_by_fingerprint.values()
+        return [
+            case.broken_by_replica[replica_id]
+            for case in cases
+            if replica_id in case.broken_by_replica
+        ]
+
     def _record_losses(
         self, replica_id: ReplicaId, oldest: Millis, evidence: str, only_heard: bool = False
     ) -> None:
--- a/packages/firtrestle/tests/test_crash_records.py
+++ b/packages/firtrestle/tests/test_crash_records.py
@@ -312,10 +312,10 @@
     _, first, _ = pair()
     for number in range(20):
         first.records.record_broken_reply("f", replica(f"i{number}"), was_heard=False)
+    for number in range(3, 20):
+        first.records.record_unreachable(replica(f"i{number}"), is_refused=False)
     for number in range(3, 11):
         first.records.record_reached(replica(f"i{number}"))
-    for number in range(11, 20):
-        first.records.record_unreachable(replica(f"i{number}"), is_refused=False)
     for name in ("i0", "i1", "i2"):
         first.records.record_instance_lost(replica(name))
     assert first.records.time_left("f") is None
