Drop a bound of request bodies that can't be reached, and two copies

With a least piece of one byte, a body could never have too many pieces: the bound is switched off for requests instead, and its refusal goes. A head beyond its bounds gets one response, not a second built over the first. The name of the request id's header is defined once for both fronts. Behaviour is as it was. Run: test_http_servers, test_transfers.

--- a/packages/firtrestle/firtrestle/fronts.py
+++ b/packages/firtrestle/firtrestle/fronts.py
@@ -15,7 +15,7 @@
 from firtrestle.errors import ErrorKind, Ran, Refused
 from firtrestle.events import EventKind, EventLog
 from firtrestle.gather_tools import GatherTools
-from firtrestle.http_servers import HttpRequest, HttpResponse
+from firtrestle.http_servers import REQUEST_ID_HEADER, HttpRequest, HttpResponse
 from firtrestle.outcomes import SubOutcome
 from firtrestle.pauses import PauseGuard
 from firtrestle.problems import problem_response
@@ -27,7 +27,6 @@
 from firtrestle.submits import Receipt, Submits, check_key
 from firtrestle.whole_numbers import parse_whole
 
-REQUEST_ID_HEADER = "x-request-id"
 TIMEOUT_HEADER = "request-timeout-ms"
 PRIORITY_HEADER = "priority"
 KEY_HEADER = "idempotency-key"
--- a/packages/firtrestle/firtrestle/http_servers.py
+++ b/packages/firtrestle/firtrestle/http_servers.py
@@ -20,10 +20,8 @@
 from firtrestle.problems import problem_response
 from firtrestle.receive_bounds import (
     EVENTS_PER_TURN,
-    MIN_REQUEST_PIECE_BYTES,
     READ_BYTES,
     BodyReader,
-    BodyTooFragmented,
     BodyTooLarge,
     MemoryUsedUp,
     ReceiveMemory,
@@ -234,13 +232,12 @@
         """Read one request, or refuse one whose body exceeds a bound."""
         limit = self._bounds.max_body_bytes
         try:
-            with BodyReader(limit, self._server.memory, MIN_REQUEST_PIECE_BYTES) as reader:
+            # Callers may send bodies in chunks of any size.
+            with BodyReader(limit, self._server.memory, bounds_pieces=False) as reader:
                 return await self._read_request(scope, reader)
         except BodyTooLarge:
             kind = ErrorKind.NOT_READY if self._bounds.are_provisional else ErrorKind.TOO_LARGE
             return Refused.not_run(kind, detail=f"the limit is {limit} bytes")
-        except BodyTooFragmented as error:
-            return Refused.not_run(ErrorKind.BAD_REQUEST, detail=str(error))
         except MemoryUsedUp as error:
             logger.bind(reason=str(error)).warning("request refused: no memory for its body")
             return Refused.not_run(ErrorKind.OVERLOADED, detail=str(error))
@@ -307,14 +304,12 @@
 
     async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> bool:
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            refused = Refused.not_run(ErrorKind.BAD_REQUEST, detail=str(error))
-            response = problem_response(refused, "")
-            if error.error_status_hint == STATUS_HEADERS_TOO_LARGE:
-                status = STATUS_HEADERS_TOO_LARGE
-                if self._bounds.are_provisional:
-                    refused, status = Refused.not_run(ErrorKind.NOT_READY, refused.detail), None
-                response = problem_response(refused, "", status=status)
-            await self._send(response, is_last=True)
+            is_too_large = error.error_status_hint == STATUS_HEADERS_TOO_LARGE
+            kind, status = ErrorKind.BAD_REQUEST, STATUS_HEADERS_TOO_LARGE if is_too_large else None
+            if is_too_large and self._bounds.are_provisional:
+                kind, status = ErrorKind.NOT_READY, None
+            refused = Refused.not_run(kind, detail=str(error))
+            await self._send(problem_response(refused, "", status=status), is_last=True)
         return False
 
     def _is_head_request(self) -> bool:
--- a/packages/firtrestle/firtrestle/receive_bounds.py
+++ b/packages/firtrestle/firtrestle/receive_bounds.py
@@ -8,8 +8,7 @@
 EVENTS_PER_TURN = 32  # of one message, before other tasks get a turn
 # A piece is a chunk, or what one read returned; each costs processor time, however small it is.
 FREE_PIECES = 1_024
-MIN_PIECE_BYTES = 128  # least mean size of the pieces beyond the free ones, of replies
-MIN_REQUEST_PIECE_BYTES = 1  # callers may send bodies in chunks of any size
+MIN_PIECE_BYTES = 128  # least mean size of the pieces beyond the free ones
 FREE_BYTES = 32_768  # of each message, which it may hold whatever the others hold
 
 
@@ -51,17 +50,17 @@
 class BodyReader:
     """Collect the pieces of one body within its bounds; its memory is reserved until the exit.
 
-    With `min_piece_bytes`, pieces beyond the free ones must have that mean size.
+    With `bounds_pieces`, too many small pieces are out of bounds as well.
     """
 
     def __init__(
         self,
         max_bytes: int,
         memory: ReceiveMemory | None = None,
-        min_piece_bytes: int = MIN_PIECE_BYTES,
+        bounds_pieces: bool = True,
     ) -> None:
         self._max_bytes = max_bytes
-        self._min_piece_bytes = min_piece_bytes
+        self._bounds_pieces = bounds_pieces
         self._memory = memory
         self._body = bytearray()
         self._pieces = 0
@@ -86,7 +85,7 @@
         size = len(self._body) + len(piece)
         if size > self._max_bytes:
             raise BodyTooLarge(f"the body has over {self._max_bytes} bytes")
-        if self._pieces > FREE_PIECES + size / self._min_piece_bytes:
+        if self._bounds_pieces and self._pieces > FREE_PIECES + size / MIN_PIECE_BYTES:
             raise BodyTooFragmented(f"the body has {self._pieces} pieces in {size} bytes")
         self._reserve(size - FREE_BYTES - self._reserved_bytes)
         self._body += piece
