--- a/packages/firtrestle/firtrestle/relaying_gathers.py
+++ b/packages/firtrestle/firtrestle/relaying_gathers.py
@@ -4,8 +4,7 @@
 
 from dataclasses import replace
 
-from firtrestle.instance_pools import InstanceCall
-from firtrestle.instance_replies import InstanceReply
+from firtrestle.instance_calls import InstanceCall, ignore_reply
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
 from firtrestle.relay_messages import RelayResult, RelayTerms
@@ -65,7 +64,7 @@
         call = InstanceCall(
             self._request.message,
             self._request.deadline,
-            _ignore_reply,
+            ignore_reply,
             fresh=False,
             max_reply_bytes=self._max_reply_bytes,
         )
@@ -137,7 +136,3 @@
     def _spend_for(self, service: str) -> bool:
         budgets = self._tools.budgets
         return budgets.for_service(service).spend(budgets.slack)
-
-
-def _ignore_reply(reply: InstanceReply) -> None:
-    return
--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -17,7 +17,7 @@
 from firtrestle.gathers import Gather
 from firtrestle.hedge_delays import HedgeDelays
 from firtrestle.http_clients import MAX_REPLY_BYTES
-from firtrestle.instance_pools import InstanceCall
+from firtrestle.instance_calls import InstanceCall
 from firtrestle.instance_replies import InstanceReply
 from firtrestle.outcomes import SubOutcome
 from firtrestle.peers import Cancellable
--- a/packages/firtrestle/tests/route_fakes.py
+++ b/packages/firtrestle/tests/route_fakes.py
@@ -18,7 +18,7 @@
 from firtrestle.departures import Departures
 from firtrestle.errors import Refused
 from firtrestle.gossip_maps import GossipMap
-from firtrestle.instance_pools import InstanceCall
+from firtrestle.instance_calls import InstanceCall
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance, Instances
 from firtrestle.known_daemons import KnownDaemons
--- a/packages/firtrestle/tests/test_instance_pools.py
+++ b/packages/firtrestle/tests/test_instance_pools.py
@@ -10,12 +10,8 @@
 from firtrestle.clocks import Clock, Millis
 from firtrestle.http_clients import HttpConnection
 from firtrestle.http_servers import HttpBounds, HttpRequest, HttpResponse, HttpServer
-from firtrestle.instance_pools import (
-    CANCELLED_REPLY_TIMEOUT,
-    InstanceCall,
-    InstancePools,
-    PoolTools,
-)
+from firtrestle.instance_calls import CANCELLED_REPLY_TIMEOUT, InstanceCall
+from firtrestle.instance_pools import InstancePools, PoolTools
 from firtrestle.instance_replies import CallerMessage, InstanceReply
 from firtrestle.instances import Instance
 from firtrestle.known_daemons import KnownDaemons
