--- a/packages/firtrestle/firtrestle/service_gathers.py
+++ b/packages/firtrestle/firtrestle/service_gathers.py
@@ -30,8 +30,6 @@
 from firtrestle.service_tools import ServiceTools
 from firtrestle.snapshots import ReplicaId
 
-# A shard given up for one of these was refused by all instances that could be asked.
-UNSENT_REASONS = frozenset({SubOutcome.NO_REPLICA, SubOutcome.SHED})
 MAX_CANARIES = 3  # shards sent one after the other while no instance has answered
 
 
@@ -85,8 +83,7 @@
         await self.collect()
         if self._parts.reply_by_service and self._has_least_coverage():
             return merge(self._route.merge, self._parts)
-        failure = failure_answer(len(self._services), self.attempt_summary)
-        return failure or self._refusal()
+        return failure_answer(len(self._services), self.attempt_summary) or self._refusal()
 
     async def collect(self) -> None:
         """Get the services' replies."""
