Group the memory of messages, and the counters of gathers

route_daemons held the bounds of three kinds of message as single values and set the gauges of each; they are one object now, and the counters of gathers are set where those of relays are. No change of behaviour: the same shares and metrics. Run: test_platform, test_not_run_statuses, test_endless_searchers, test_relays, test_split_gathers.

--- a/packages/firtrestle/firtrestle/metrics.py
+++ b/packages/firtrestle/firtrestle/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 if TYPE_CHECKING:
+    from firtrestle.gather_counts import GatherCounts
     from firtrestle.part_relays import PartRelays
     from firtrestle.relay_servers import RelayServer
     from firtrestle.relays import Relays
@@ -239,6 +240,14 @@
         gauge.labels(label).set(value)
 
 
+def record_gathers(counts: GatherCounts) -> None:
+    """Set the counters of decisions on gathers."""
+    GATHERS_ENDED_EARLY.set(counts.ended_early)
+    REPEATS_WITHHELD.set(counts.repeats_withheld)
+    SHEDS_REPEATED.set(counts.sheds_repeated)
+    STATUSES_WITHHELD.set(counts.statuses_withheld)
+
+
 def record_relays(relays: Relays, server: RelayServer, splits: PartRelays) -> None:
     """Set the counters of requests that one daemon runs for another."""
     RELAYED.set(relays.relayed)
--- a/packages/firtrestle/firtrestle/route_daemons.py
+++ b/packages/firtrestle/firtrestle/route_daemons.py
@@ -31,13 +31,13 @@
 from firtrestle.listeners import listen
 from firtrestle.loop_monitors import LoopMonitor
 from firtrestle.members import Members
+from firtrestle.message_memory import MessageMemory
 from firtrestle.messages import Done, Ping, PingFor, Pull, Relay
 from firtrestle.part_relays import PartRelays
 from firtrestle.pauses import PauseGuard
 from firtrestle.peer_servers import PeerServer, refuse_sub_request
 from firtrestle.peers import PeerAddress, PeerClients
 from firtrestle.rate_limits import RateLimits
-from firtrestle.receive_bounds import ReceiveMemory
 from firtrestle.registry_readers import ReaderRole, RegistryProgress
 from firtrestle.relay_servers import RelayServer
 from firtrestle.relays import Relays
@@ -53,7 +53,6 @@
 from firtrestle.settings import Settings
 from firtrestle.settings_reloads import reload_settings
 from firtrestle.snapshots import ReplicaId
-from firtrestle.transfers import ResponseWrites
 from firtrestle.unsent_replies import EVACUATED, LEAVING, PAUSED
 from firtrestle.uplink_monitors import UplinkMonitor
 from firtrestle.uplink_reports import UplinkReports
@@ -66,10 +65,6 @@
 EXIT_RESERVE = Millis(500)  # part of the grace period kept for the process to exit before SIGKILL
 ANSWER_RESERVE = Millis(100)  # for the last answers to be written
 FLUSH_DELAY = Millis(50)  # lets the last answers reach the network before the process exits
-BYTES_PER_MB = 1_000_000
-REPLY_MEMORY_SHARE = 0.1  # of the VM's memory, for unfinished replies of instances
-REQUEST_MEMORY_SHARE = 0.1  # of the VM's memory, for unfinished requests of callers
-RESPONSE_MEMORY_SHARE = 0.2  # of the VM's memory, for responses that callers have not read
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -114,8 +109,7 @@
         self._warm_ups = WarmUpItems.from_config(
             settings, self.items, clock, lambda replica_id: self.instances.get(replica_id)
         )
-        memory_bytes = settings.daemon.memory_mb * BYTES_PER_MB
-        reply_memory = ReceiveMemory(int(memory_bytes * REPLY_MEMORY_SHARE))
+        self._memory = memory = MessageMemory.from_config(settings.daemon, clock)
         self._uplink = Uplink(clock, rng, self._on_uplink_change)
         self._evacuations = Evacuations(clock)
         self._pools = InstancePools(
@@ -126,7 +120,7 @@
                 self._backoffs,
                 self._warm_ups.warm_ups,
                 self._observe_reply,
-                reply_memory,
+                memory.replies,
                 self._uplink,
                 settings.daemon.source_address,
                 self._evacuations.covers,
@@ -202,7 +196,7 @@
             relays=self._relays,
             splits=self._splits,
             data_centre=settings.daemon.data_centre,
-            reply_memory_bytes=reply_memory.limit_bytes,
+            reply_memory_bytes=memory.replies.limit_bytes,
         )
         self.state = RouteState(RouteTable())
         self._counts = tools.counts
@@ -228,16 +222,12 @@
         )
         publisher.start(self._source.parse_routes)
         front = settings.front
-        self._reply_memory = reply_memory
-        self._request_memory = request_memory = ReceiveMemory(
-            int(memory_bytes * REQUEST_MEMORY_SHARE)
-        )
         self._http = HttpServer(
             self._handle,
             replace(HttpBounds.from_config(front), are_provisional=True),
             front.max_connections,
-            memory=request_memory,
-            writes=ResponseWrites(memory_bytes * RESPONSE_MEMORY_SHARE, clock),
+            memory=memory.requests,
+            writes=memory.responses,
         )
         self._operator_http = HttpServer(self._handle_operator, HttpBounds(), front.max_connections)
 
@@ -390,21 +380,12 @@
         metrics.QUEUED.set(self._pools.waiting)
         metrics.OVER_BOUNDS.set(self._pools.replies_over_bounds)
         metrics.CONNECTIONS.set(self._pools.open_connections)
-        writes = self._http.writes
-        bytes_by_kind = {
-            "requests read": self._request_memory.used_bytes,
-            "replies read": self._reply_memory.used_bytes,
-            "responses written": writes.used_bytes,
-        }
-        metrics.set_by_label(metrics.MESSAGE_BYTES, bytes_by_kind)
-        metrics.set_by_label(metrics.RESPONSES_CUT, writes.cut_by_reason)
+        metrics.set_by_label(metrics.MESSAGE_BYTES, self._memory.used_bytes_by_kind())
+        metrics.set_by_label(metrics.RESPONSES_CUT, self._memory.responses.cut_by_reason)
         metrics.set_by_label(metrics.REPLICAS, self._replicas.count_by_state())
         metrics.REPORTED_SLOW.set(self._reports.slow.verdict_count())
         metrics.REPORTED_FAILING.set(self._reports.failing.verdict_count())
-        metrics.GATHERS_ENDED_EARLY.set(self._counts.ended_early)
-        metrics.REPEATS_WITHHELD.set(self._counts.repeats_withheld)
-        metrics.SHEDS_REPEATED.set(self._counts.sheds_repeated)
-        metrics.STATUSES_WITHHELD.set(self._counts.statuses_withheld)
+        metrics.record_gathers(self._counts)
         metrics.UPLINK_LOST.set(self._uplink.is_lost)
         metrics.UPLINK_LOSSES.set(self._uplink.losses)
         metrics.OPENING_LOST.set(not self._uplink.opens)
